--- a/src/bin/kelpquay-wirehost.rs
+++ b/src/bin/shaletack-drill.rs
@@ -6,11 +6,11 @@
 fn main() -> ExitCode {
     let mut input = BufReader::with_capacity(1 << 16, io::stdin().lock());
     let mut output = BufWriter::with_capacity(1 << 16, io::stdout().lock());
-    match kelpquay::wire::serve(&mut input, &mut output) {
+    match shaletack::wire::serve(&mut input, &mut output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             let _ = output.flush();
-            eprintln!("kelpquay-wirehost: {fault}");
+            eprintln!("shaletack-drill: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! kelpquay decides for a gateway in which order, when and where the I/O requests of many volumes
+//! shaletack decides for a gateway in which order, when and where the I/O requests of many volumes
 //! go to the nodes that hold their data.
 //!
 //! The library does no I/O: a host feeds [`choice::Scheduler`] with [`interface::Event`]s and carries
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A driver for one module alone: feeds events, keeps what it did.
 #![allow(dead_code)]
 
-use kelpquay::choice::Scheduler;
-use kelpquay::interface::*;
+use shaletack::choice::Scheduler;
+use shaletack::interface::*;
 
 pub const MS: u64 = 1_000_000;
 pub const S: u64 = 1_000 * MS;
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use kelpquay::choice::Scheduler;
-use kelpquay::interface::*;
+use shaletack::choice::Scheduler;
+use shaletack::interface::*;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -157,7 +157,7 @@
     fn any_bytes_are_taken_or_refused_calmly(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
         let mut framed = (bytes.len() as u32 + 4).to_le_bytes().to_vec();
         framed.extend_from_slice(&bytes);
-        let taken = kelpquay::wire::Wire::new().answer(&framed);
+        let taken = shaletack::wire::Wire::new().answer(&framed);
         prop_assert!(taken.map_or(true, |reply| reply.len() >= 8));
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use kelpquay::interface::*;
+use shaletack::interface::*;
 
 fn sent_units(host: &Host, each: f64) -> f64 {
     host.sends().len() as f64 * each
@@ -137,7 +137,7 @@
 #[test]
 fn a_reborn_host_takes_its_part_of_a_cold_node_as_spent() {
     let mut host =
-        Host { log: vec![], now: T0, scheduler: kelpquay::choice::Scheduler::new(settings(), 1, T0) };
+        Host { log: vec![], now: T0, scheduler: shaletack::choice::Scheduler::new(settings(), 1, T0) };
     host.at(T0, &[list(ListKind::Cached, vec![NodeLine { born: T0 - S, ..line(1, 0) }])]);
     host.at(T0, &[Event::Request(request(1))]);
     host.ring_until(T0 + S + 900 * MS);
@@ -357,7 +357,7 @@
     let told = |on: bool, seed: u64| {
         let set = Settings { retry_after: on, retry_after_top: 900 * MS, ..settings() };
         let mut host =
-            Host { scheduler: kelpquay::choice::Scheduler::new(set, seed, T0), now: T0, log: vec![] };
+            Host { scheduler: shaletack::choice::Scheduler::new(set, seed, T0), now: T0, log: vec![] };
         host.at(T0, &[Event::Request(Request { patience: 800 * MS, ..request(2) })]);
         host.ring_until(T0 + S);
         let told = |a: &Action| match a {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::*;
-use kelpquay::choice::Scheduler;
-use kelpquay::interface::*;
-use kelpquay::memo::Memo;
+use shaletack::choice::Scheduler;
+use shaletack::interface::*;
+use shaletack::memo::Memo;
 use std::collections::{BTreeSet, VecDeque};
 
 /// A small generator, so that runs are the same each time.
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's layout, by its worked frames, and what is malformed.
 
-use kelpquay::wire::{serve, Wire};
+use shaletack::wire::{serve, Wire};
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
