Real initiator: one reducer core, actix-http front, awc box client, discovery watch

What was checked in the libraries' sources before relying on them: - actix-http drops the service future when a client closes mid-request only with h1_allow_half_closed off; its request time-out runs from the accept, so both it and keep-alive (5 s by default) are set. - awc says ConnectError::Disconnected also when the connection ends after the request, so that maps to 'may have run' (boxes.rs, end_of); a body that breaks off ends as if whole (PlStream), so only an answer of a stated and kept length is served; redirects, its time-out and default headers are off. - The pool reads an idle connection before reuse; idle limit is six tenths of the settings' keepalive. Settings are read by one reader (simd-json) for the drill and the initiator.

--- /dev/null
+++ b/src/broker.rs
@@ -0,0 +1,447 @@
+//! The core that knows no wire: one reducer holds the scheduler and every request. What comes in is an
+//! [`Input`]; reading, writing and waiting are [`Effect`]s that it asks for. Decisions are the scheduler's.
+
+use crate::choice::Scheduler;
+use crate::ending::End;
+use crate::interface::*;
+use crate::members::{Member, Members};
+use bytes::Bytes;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// An answer is given so long before its client stops waiting: the way back takes time as well.
+const WAY_BACK: Duration = Duration::from_millis(10);
+/// How often the figures of what was served go to the log, while there is anything to say.
+const TALLY_EVERY: Duration = Duration::from_secs(10);
+
+/// What a client asks, in the scheduler's terms.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ask {
+    /// Its class, by number.
+    pub class: u16,
+    /// Its volume.
+    pub volume: VolumeId,
+    /// The volume's plan, by number.
+    pub plan: u16,
+    /// Through how many initiators the volume's requests come.
+    pub hosts: f64,
+    /// The piece of data.
+    pub key: u64,
+    /// The shard that holds it; `None`: any.
+    pub shard: Option<u16>,
+    /// Its size.
+    pub units: f64,
+    /// How long the client waits on.
+    pub patience: Duration,
+    /// The client marked it as a repeat of its own.
+    pub repeat: bool,
+}
+
+/// How an attempt came back from a front's box client.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// How its connection ended.
+    pub end: End,
+    /// What the box sent, where it is whole.
+    pub body: Bytes,
+    /// The volume's use everywhere, in parts of its plan's rate.
+    pub used: Option<f64>,
+    /// Units the shard served the volume through other initiators since its last answer here.
+    pub elsewhere: f64,
+}
+
+impl Reply {
+    /// An end without an answer.
+    pub fn none(end: End) -> Self {
+        Reply { end, body: Bytes::new(), used: None, elsewhere: 0.0 }
+    }
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A request was taken, under a number never used before.
+    Arrived(RequestId, Ask),
+    /// An attempt came back.
+    Ended(RequestId, u8, Reply),
+    /// The client of a request is gone.
+    Left(RequestId),
+    /// News of the disk boxes.
+    List(Members),
+    /// A wait is over.
+    Woke,
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// What the box sent.
+    Served(Bytes),
+    /// Turned away; trying again is harmless after that long.
+    Refused(Duration),
+    /// Failed; nothing is promised of its effect.
+    Failed,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Start an attempt.
+    Send {
+        /// Whose.
+        request: RequestId,
+        /// Which of its attempts, from 0.
+        number: u8,
+        /// Where.
+        to: SocketAddr,
+        /// How long it is waited for.
+        wait: Duration,
+    },
+    /// Give an attempt up: close its connection.
+    Abort(RequestId, u8),
+    /// The one final answer.
+    Answer(RequestId, Answer),
+    /// Come back with [`Input::Woke`] then; an earlier wait is void.
+    Wake(Instant),
+    /// A line for the log.
+    Log(String),
+}
+
+/// What became of the requests of one class.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tally {
+    /// How many were taken.
+    pub taken: u64,
+    /// How many were served, and their units.
+    pub served: u64,
+    /// The units of the served ones.
+    pub units: f64,
+    /// How many were refused.
+    pub refused: u64,
+    /// How many failed.
+    pub failed: u64,
+    /// How many clients left before their answer.
+    pub left: u64,
+}
+
+/// The scheduler's clock: Unix time, read once and then carried on by a clock that never goes back.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    anchor: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    /// At `anchor` it is `unix`.
+    pub fn new(anchor: Instant, unix: Duration) -> Self {
+        Clock { anchor, unix }
+    }
+
+    fn nanos(&self, at: Instant) -> Nanos {
+        nanos(self.unix + at.saturating_duration_since(self.anchor))
+    }
+
+    fn instant(&self, at: Nanos) -> Instant {
+        self.anchor + Duration::from_nanos(at).saturating_sub(self.unix)
+    }
+}
+
+fn nanos(span: Duration) -> Nanos {
+    u64::try_from(span.as_nanos()).unwrap_or(Nanos::MAX)
+}
+
+#[derive(Debug)]
+struct Open {
+    class: u16,
+    units: f64,
+    due: Nanos,
+    attempts: u8,
+}
+
+#[derive(Debug)]
+struct Flight {
+    node: NodeId,
+    sent_at: Nanos,
+    until: Nanos,
+}
+
+/// The state of one initiator.
+#[derive(Debug)]
+pub struct Broker {
+    scheduler: Scheduler,
+    clock: Clock,
+    zones: Vec<String>,
+    names: BTreeMap<String, NodeId>,
+    addresses: BTreeMap<NodeId, SocketAddr>,
+    open: BTreeMap<RequestId, Open>,
+    flights: BTreeMap<(RequestId, u8), Flight>,
+    wake: Option<Nanos>,
+    tallies: Vec<(String, Tally)>,
+    told_at: Nanos,
+    ends: BTreeMap<String, u64>,
+}
+
+impl Broker {
+    /// An initiator that has just started; the list it last had comes as an input.
+    pub fn new(set: Settings, seed: u64, clock: Clock, now: Instant) -> Self {
+        let at = clock.nanos(now);
+        Broker {
+            zones: set.zones.clone(),
+            tallies: set.classes.iter().map(|c| (c.name.clone(), Tally::default())).collect(),
+            scheduler: Scheduler::new(set, seed, at),
+            clock,
+            names: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            open: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            wake: None,
+            told_at: at,
+            ends: BTreeMap::new(),
+        }
+    }
+
+    /// Whether it knows of a disk box to send to.
+    pub fn is_ready(&self) -> bool {
+        !self.addresses.is_empty()
+    }
+
+    /// Requests that no final answer went to yet.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// What became of the requests, by class.
+    pub fn tallies(&self) -> &[(String, Tally)] {
+        &self.tallies
+    }
+
+    /// The one way in: takes what happened, and asks for what is to be done.
+    pub fn step(&mut self, now: Instant, input: Input) -> Vec<Effect> {
+        let at = self.clock.nanos(now);
+        let (mut effects, mut events) = (Vec::new(), Vec::new());
+        match input {
+            Input::Arrived(id, ask) => events.extend(self.arrived(at, id, ask)),
+            Input::Ended(id, number, reply) => events.extend(self.ended(at, id, number, reply, &mut effects)),
+            Input::Left(id) => {
+                if let Some(open) = self.open.remove(&id) {
+                    self.count(open.class, |t| t.left += 1);
+                    events.push(Event::Left(id));
+                }
+            }
+            Input::List(members) => events.push(self.listed(members, &mut effects)),
+            Input::Woke => {}
+        }
+        self.time_out(at, &mut events, &mut effects);
+        if self.wake.is_some_and(|wake| wake <= at) {
+            self.wake = None;
+            events.push(Event::Timer);
+        }
+        let mut actions = Vec::new();
+        while !events.is_empty() {
+            self.scheduler.step(at, &events, &mut actions);
+            events.clear();
+            for action in actions.drain(..) {
+                events.extend(self.act(at, action, &mut effects));
+            }
+        }
+        self.tell(at, &mut effects);
+        let first = self.flights.values().map(|f| f.until).chain(self.wake).min();
+        effects.extend(first.map(|first| Effect::Wake(self.clock.instant(first))));
+        effects
+    }
+
+    fn arrived(&mut self, at: Nanos, id: RequestId, ask: Ask) -> Option<Event> {
+        if self.open.contains_key(&id) {
+            return None;
+        }
+        let patience = nanos(ask.patience.saturating_sub(WAY_BACK));
+        let due = at.saturating_add(patience);
+        self.open.insert(id, Open { class: ask.class, units: ask.units, due, attempts: 0 });
+        self.count(ask.class, |t| t.taken += 1);
+        Some(Event::Request(Request {
+            id,
+            class: ask.class,
+            volume: ask.volume,
+            plan: ask.plan,
+            hosts: ask.hosts,
+            key: ask.key,
+            shard: ask.shard,
+            units: ask.units,
+            patience,
+            repeat: ask.repeat,
+        }))
+    }
+
+    fn ended(
+        &mut self,
+        at: Nanos,
+        id: RequestId,
+        number: u8,
+        reply: Reply,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Event> {
+        // One that was given up on has had its one outcome.
+        let flight = self.flights.remove(&(id, number))?;
+        *self.ends.entry(format!("{:?}", reply.end)).or_default() += 1;
+        let ending = reply.end.outcome();
+        if ending == Ending::Served {
+            if let Some(open) = self.open.remove(&id) {
+                let units = open.units;
+                self.count(open.class, |t| (t.served, t.units) = (t.served + 1, t.units + units));
+                effects.push(Effect::Answer(id, Answer::Served(reply.body)));
+            }
+        }
+        let mut attempt = self.outcome(at, id, number, &flight, ending);
+        attempt.used = reply.used;
+        attempt.elsewhere = reply.elsewhere;
+        Some(Event::Attempt(attempt))
+    }
+
+    fn outcome(&self, at: Nanos, id: RequestId, number: u8, flight: &Flight, ending: Ending) -> Attempt {
+        Attempt {
+            request: id,
+            number,
+            node: flight.node,
+            ending,
+            took: at.saturating_sub(flight.sent_at),
+            over: !self.open.contains_key(&id),
+            used: None,
+            elsewhere: 0.0,
+            load: Load::default(),
+        }
+    }
+
+    /// Gives up attempts whose time has come.
+    fn time_out(&mut self, at: Nanos, events: &mut Vec<Event>, effects: &mut Vec<Effect>) {
+        let over: Vec<_> = self.flights.iter().filter(|(_, f)| f.until <= at).map(|(k, _)| *k).collect();
+        for (id, number) in over {
+            events.extend(self.give_up(at, id, number, End::Silent, effects));
+        }
+    }
+
+    fn give_up(
+        &mut self,
+        at: Nanos,
+        id: RequestId,
+        number: u8,
+        end: End,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Event> {
+        let flight = self.flights.remove(&(id, number))?;
+        *self.ends.entry(format!("{end:?}")).or_default() += 1;
+        effects.push(Effect::Abort(id, number));
+        Some(Event::Attempt(self.outcome(at, id, number, &flight, end.outcome())))
+    }
+
+    fn listed(&mut self, members: Members, effects: &mut Vec<Effect>) -> Event {
+        if members.kind != ListKind::Changes {
+            self.names.clear();
+            self.addresses.clear();
+        }
+        let mut lines = Vec::new();
+        for member in &members.entries {
+            let node = node_number(&member.id);
+            if member.readiness == Readiness::Gone {
+                self.names.remove(&member.id);
+                self.addresses.remove(&node);
+            } else {
+                self.names.insert(member.id.clone(), node);
+                self.addresses.extend(member.address.map(|a| (node, a)));
+            }
+            effects.push(Effect::Log(news(&members, member)));
+            lines.push(NodeLine {
+                node,
+                zone: self.zones.iter().position(|z| *z == member.zone).unwrap_or(0) as u16,
+                shard: member.shard,
+                readiness: member.readiness,
+                born: member.up_since.map_or(0, nanos),
+            });
+        }
+        Event::List { kind: members.kind, lines }
+    }
+
+    /// Carries out one action; what it brings back at once is an event for the next round.
+    fn act(&mut self, at: Nanos, action: Action, effects: &mut Vec<Effect>) -> Option<Event> {
+        match action {
+            Action::Send { request, node, timeout } => {
+                let open = self.open.get_mut(&request)?;
+                let (number, due) = (open.attempts, open.due);
+                open.attempts = open.attempts.saturating_add(1);
+                let until = if timeout > 0 { due.min(at.saturating_add(timeout)) } else { due };
+                let flight = Flight { node, sent_at: at, until };
+                let Some(&to) = self.addresses.get(&node) else {
+                    let void = self.outcome(at, request, number, &flight, End::NoAddress.outcome());
+                    return Some(Event::Attempt(void));
+                };
+                self.flights.insert((request, number), flight);
+                let wait = Duration::from_nanos(until.saturating_sub(at));
+                effects.push(Effect::Send { request, number, to, wait });
+            }
+            Action::Cancel { request, number } => {
+                return self.give_up(at, request, number, End::CalledOff, effects);
+            }
+            Action::Refuse { request, retry_after } => {
+                let open = self.open.remove(&request)?;
+                self.count(open.class, |t| t.refused += 1);
+                let after = Duration::from_nanos(retry_after);
+                effects.push(Effect::Answer(request, Answer::Refused(after)));
+            }
+            Action::Fail { request } => {
+                let open = self.open.remove(&request)?;
+                self.count(open.class, |t| t.failed += 1);
+                effects.push(Effect::Answer(request, Answer::Failed));
+            }
+            Action::Wake(then) => self.wake = Some(self.wake.map_or(then, |w| w.min(then))),
+            Action::Log(line) => effects.push(Effect::Log(line)),
+            // The list is always watched, idle connections end by their own clock, and neither probes
+            // nor messages between initiators are asked for where the settings forbid them.
+            Action::Watch(_) | Action::Fetch | Action::CloseIdle(_) => {}
+            Action::Probe(_) | Action::Tell { .. } => {}
+        }
+        None
+    }
+
+    fn count(&mut self, class: u16, change: impl FnOnce(&mut Tally)) {
+        if let Some((_, tally)) = self.tallies.get_mut(class as usize) {
+            change(tally);
+        }
+    }
+
+    /// What became of requests and attempts since the start, now and then.
+    fn tell(&mut self, at: Nanos, effects: &mut Vec<Effect>) {
+        if at < self.told_at + nanos(TALLY_EVERY) {
+            return;
+        }
+        self.told_at = at;
+        let classes = self.tallies.iter().map(|(name, t)| {
+            let (refused, failed, left) = (t.refused, t.failed, t.left);
+            format!(
+                "{name} {} taken {} served {refused} refused {failed} failed {left} left",
+                t.taken, t.served
+            )
+        });
+        let ends = self.ends.iter().map(|(end, count)| format!("{end} {count}"));
+        let (classes, ends) = (classes.collect::<Vec<_>>().join(", "), ends.collect::<Vec<_>>().join(", "));
+        effects.push(Effect::Log(format!("so far: {classes}; attempts: {ends}; open {}", self.open.len())));
+    }
+}
+
+fn news(members: &Members, member: &Member) -> String {
+    let (kind, revision) = (members.kind, members.revision);
+    let place = member.address.map_or(String::new(), |a| format!(" at {a}"));
+    let up = member.up_since.map_or(String::new(), |t| format!(", up since {:.3}", t.as_secs_f64()));
+    format!(
+        "list {revision} ({kind:?}): {} {:?}{place}, shard {}{up}",
+        member.id, member.readiness, member.shard
+    )
+}
+
+/// A number for a box's name, the same at every initiator.
+fn node_number(id: &str) -> NodeId {
+    let digits = id.rsplit('-').next().unwrap_or(id);
+    let number = (digits.len() == 8).then(|| u32::from_str_radix(digits, 16).ok()).flatten();
+    number.unwrap_or_else(|| {
+        id.bytes().fold(0x811c_9dc5, |hash: u32, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193))
+    })
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,61 @@
+//! What an initiator is told at its start.
+
+use crate::interface::{ListKind, Settings};
+use crate::json::{self, Fault, Look};
+use crate::members::{self, Members};
+use crate::settings;
+use std::net::SocketAddr;
+
+/// The platform's file, with what the environment says.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The initiator's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where the discovery agent answers.
+    pub discovery: SocketAddr,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// How many file descriptors the process may hold.
+    pub sockets: usize,
+    /// The list of disk boxes as last had, perhaps old.
+    pub known: Members,
+    /// The scheduler's settings.
+    pub settings: Settings,
+}
+
+const FEWEST_SOCKETS: usize = 64;
+
+/// Reads the file's text; the environment's word, where it has one, goes before the file's.
+pub fn read(text: &mut [u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    let value = json::parse(text)?;
+    let top = Look::object(&value, "the configuration")?;
+    let address = |name: &str, variable: &str| {
+        let text = env(variable).map_or_else(|| top.at(name).text().map(String::from), Ok)?;
+        text.parse().map_err(|_| format!("{name}: '{text}' is not an address and port"))
+    };
+    if !top.at("settings").is_there() {
+        return Err("there are no settings".into());
+    }
+    let settings = settings::from(top.at("settings"))?;
+    if settings.classes.is_empty() || settings.plans.is_empty() {
+        return Err("the settings name no classes or no plans".into());
+    }
+    let mut known = members::from(top.at("known"))?;
+    known.kind = ListKind::Cached;
+    let sockets = top.at("limits").at("sockets").whole()? as usize;
+    if sockets > 0 && sockets < FEWEST_SOCKETS {
+        return Err(format!("limits.sockets: {sockets} are too few, {FEWEST_SOCKETS} are needed"));
+    }
+    let seed = top.at("seed").text()?;
+    Ok(Config {
+        name: env("ROUTER_NAME").map_or_else(|| top.at("name").text().map(String::from), Ok)?,
+        listen: address("listen", "ROUTER_LISTEN")?,
+        discovery: address("discovery", "ROUTER_DISCOVERY")?,
+        seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: '{seed}' is not 16 hex digits"))?,
+        sockets: if sockets == 0 { 1024 } else { sockets },
+        known,
+        settings,
+    })
+}
--- /dev/null
+++ b/src/ending.rs
@@ -0,0 +1,52 @@
+//! Every way in which an attempt's connection can end, and what that means to the scheduler.
+
+use crate::interface::Ending;
+
+/// How the exchange with a disk box ended, as seen on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer: the work is done.
+    Whole,
+    /// A whole answer that says the work failed.
+    BoxError,
+    /// Turned away, and the box vouches that nothing ran.
+    TurnedAway,
+    /// An answer that the protocol does not know; nothing vouches for what ran.
+    Strange,
+    /// The connection was refused, or no way led to the box.
+    Unreachable,
+    /// The connection did not come up in the settings' time.
+    ConnectTimedOut,
+    /// The handshake on a new connection failed before any request was written.
+    HandshakeFailed,
+    /// The connection broke while the request was being written; the last byte may have gone.
+    BrokeWriting,
+    /// The connection broke after the request and before an answer.
+    BrokeWaiting,
+    /// The answer began and did not come whole.
+    HalfAnswer,
+    /// The answer's end cannot be told from a break, or it is larger than an answer may be.
+    UnboundedAnswer,
+    /// Nothing came in time, and the connection was closed.
+    Silent,
+    /// The scheduler called it off, and the connection was closed.
+    CalledOff,
+    /// It was never begun: the box's address is not known any more.
+    NoAddress,
+}
+
+impl End {
+    /// The scheduler's word for it. "It never ran" is said only of what proves it.
+    pub fn outcome(self) -> Ending {
+        match self {
+            End::Whole => Ending::Served,
+            End::BoxError | End::Strange => Ending::Error,
+            End::TurnedAway => Ending::TurnedAway,
+            End::Unreachable | End::ConnectTimedOut | End::HandshakeFailed => Ending::NoConnection,
+            End::BrokeWriting | End::BrokeWaiting | End::HalfAnswer | End::UnboundedAnswer => Ending::Broken,
+            End::Silent => Ending::TimedOut,
+            End::CalledOff => Ending::Cancelled,
+            End::NoAddress => Ending::Void,
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -39,6 +39,8 @@
 /// One class of requests.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Class {
+    /// Its name.
+    pub name: String,
     /// Full worth is earned by an answer within this time.
     pub aim: Nanos,
     /// The client's whole wait.
@@ -60,6 +62,8 @@
 /// One plan; its figures hold for each of its volumes, over all hosts and nodes together.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
+    /// Its name.
+    pub name: String,
     /// Units a second such a volume is sized for.
     pub rate: f64,
     /// Units a second that earn their full worth.
@@ -109,6 +113,8 @@
     pub rank: u32,
     /// This host's zone.
     pub zone: u16,
+    /// The names of the zones, by number.
+    pub zones: Vec<String>,
     /// The shortest time between batches.
     pub step: Nanos,
     /// The list of nodes comes only when asked for.
@@ -135,6 +141,12 @@
     pub retry_after_top: Nanos,
     /// Units within `tip_after`, from all hosts together, that a cold node always bears.
     pub cold_bears: f64,
+    /// An idle connection to a node is closed by the node after this long.
+    pub keepalive: Nanos,
+    /// A connection not made by then is given up.
+    pub connect_timeout: Nanos,
+    /// The names of the figures in load reports, in their order.
+    pub load_fields: Vec<String>,
     /// The period over which the meter adds up use; 0: no meter.
     pub meter_period: Nanos,
     /// Mean units of a request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,20 @@
-//! shaletack decides for a gateway in which order, when and where the I/O requests of many volumes
-//! go to the nodes that hold their data.
+//! shaletack is an initiator: it decides in which order, when and where the I/O requests of many volumes
+//! go to the disk boxes that hold their data, and carries that out on sockets.
 //!
-//! The library does no I/O: a host feeds [`choice::Scheduler`] with [`interface::Event`]s and carries
+//! The core does no I/O: a host feeds [`choice::Scheduler`] with [`interface::Event`]s and carries
 //! out the [`interface::Action`]s it gets back. Every decision is in [`choice`].
 
+pub mod broker;
 pub mod choice;
+pub mod config;
+pub mod ending;
 pub mod interface;
+pub mod json;
 mod measure;
+pub mod members;
 pub mod memo;
+pub mod net;
+pub mod settings;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/members.rs
@@ -0,0 +1,77 @@
+//! The list of disk boxes in discovery's form.
+
+use crate::interface::{ListKind, Readiness};
+use crate::json::{self, Fault, Look};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// One disk box as listed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Its name, alike at every initiator.
+    pub id: String,
+    /// Where this initiator reaches it; a removed one needs none.
+    pub address: Option<SocketAddr>,
+    /// The name of its zone.
+    pub zone: String,
+    /// The shard it holds.
+    pub shard: u16,
+    /// What it is ready for.
+    pub readiness: Readiness,
+    /// When it last started, as Unix time; `None`: long ago.
+    pub up_since: Option<Duration>,
+}
+
+/// A report on the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Members {
+    /// The list's version.
+    pub revision: u64,
+    /// The whole list, or what changed.
+    pub kind: ListKind,
+    /// The entries.
+    pub entries: Vec<Member>,
+}
+
+/// Reads one report; the text is used as a workplace.
+pub fn read(text: &mut [u8]) -> Result<Members, Fault> {
+    let value = json::parse(text)?;
+    from(Look::object(&value, "the list")?)
+}
+
+/// A report from an object already read.
+pub fn from(list: Look) -> Result<Members, Fault> {
+    let kind = if list.at("complete").yes()? { ListKind::Full } else { ListKind::Changes };
+    let entries = list.at("members").list()?.into_iter().map(member).collect::<Result<_, _>>()?;
+    Ok(Members { revision: list.at("revision").whole()?, kind, entries })
+}
+
+/// One entry.
+pub fn member(entry: Look) -> Result<Member, Fault> {
+    let id = entry.at("id").text()?;
+    if id.is_empty() {
+        return Err("a member of the list has no id".into());
+    }
+    let readiness = match entry.at("phase").text()? {
+        "up" => Readiness::Ready,
+        "draining" => Readiness::Draining,
+        "removed" => Readiness::Gone,
+        other => return Err(format!("member {id}: '{other}' is not a phase")),
+    };
+    let address = match entry.at("host_port").text()? {
+        "" if readiness == Readiness::Gone => None,
+        text => match text.parse() {
+            Ok(address) => Some(address),
+            Err(_) => return Err(format!("member {id}: '{text}' is not an address and port")),
+        },
+    };
+    let up_since = entry.at("up_since_ms").whole()?;
+    Ok(Member {
+        id: id.into(),
+        address,
+        zone: entry.at("locality").text()?.into(),
+        shard: entry.at("cell").whole()? as u16,
+        readiness,
+        up_since: (up_since > 0).then(|| Duration::from_millis(up_since)),
+    })
+}
--- /dev/null
+++ b/src/net/host.rs
@@ -0,0 +1,165 @@
+//! Carries out what the core asks for: attempts, answers and waits, all on one thread.
+
+use crate::broker::{Answer, Ask, Broker, Effect, Input, Reply};
+use crate::interface::RequestId;
+use futures_util::future::LocalBoxFuture;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::AbortHandle;
+
+/// How one front's requests reach a box. Dropping the future closes the connection it uses.
+pub trait Errand {
+    /// One attempt, for which the initiator waits so long.
+    fn attempt(&self, to: SocketAddr, wait: Duration) -> LocalBoxFuture<'static, Reply>;
+}
+
+struct Waiting {
+    errand: Rc<dyn Errand>,
+    answer: oneshot::Sender<Answer>,
+}
+
+struct Inner {
+    broker: RefCell<Broker>,
+    waiting: RefCell<HashMap<RequestId, Waiting>>,
+    flights: RefCell<HashMap<(RequestId, u8), AbortHandle>>,
+    last_id: Cell<RequestId>,
+    wake: Cell<Option<Instant>>,
+    rearm: Notify,
+    stopping: Cell<bool>,
+}
+
+/// The core and its loop, shared by the fronts.
+#[derive(Clone)]
+pub struct Host(Rc<Inner>);
+
+impl Host {
+    /// Starts the loop round a core on the current thread.
+    pub fn start(broker: Broker) -> Self {
+        let host = Host(Rc::new(Inner {
+            broker: RefCell::new(broker),
+            waiting: RefCell::default(),
+            flights: RefCell::default(),
+            last_id: Cell::new(0),
+            wake: Cell::new(None),
+            rearm: Notify::new(),
+            stopping: Cell::new(false),
+        }));
+        actix_rt::spawn(host.clone().keep_time());
+        host
+    }
+
+    /// Gives the core an input and carries out what it asks for.
+    pub fn feed(&self, input: Input) {
+        let effects = self.0.broker.borrow_mut().step(Instant::now(), input);
+        for effect in effects {
+            match effect {
+                Effect::Send { request, number, to, wait } => self.send(request, number, to, wait),
+                Effect::Abort(request, number) => {
+                    if let Some(flight) = self.0.flights.borrow_mut().remove(&(request, number)) {
+                        flight.abort();
+                    }
+                }
+                Effect::Answer(request, answer) => {
+                    if let Some(waiting) = self.0.waiting.borrow_mut().remove(&request) {
+                        // Where the client is gone by now nobody reads it.
+                        let _ = waiting.answer.send(answer);
+                    }
+                }
+                Effect::Wake(at) => {
+                    if self.0.wake.replace(Some(at)) != Some(at) {
+                        self.0.rearm.notify_one();
+                    }
+                }
+                Effect::Log(line) => log(&line),
+            }
+        }
+    }
+
+    fn send(&self, request: RequestId, number: u8, to: SocketAddr, wait: Duration) {
+        let Some(errand) = self.0.waiting.borrow().get(&request).map(|w| w.errand.clone()) else { return };
+        let host = self.clone();
+        let attempt = errand.attempt(to, wait);
+        let task = actix_rt::spawn(async move {
+            let reply = attempt.await;
+            host.0.flights.borrow_mut().remove(&(request, number));
+            host.feed(Input::Ended(request, number, reply));
+        });
+        self.0.flights.borrow_mut().insert((request, number), task.abort_handle());
+    }
+
+    /// Takes a request and waits for its one final answer; dropping the future says that its client left.
+    pub async fn ask(&self, ask: Ask, errand: Rc<dyn Errand>) -> Answer {
+        let id = self.0.last_id.get() + 1;
+        self.0.last_id.set(id);
+        let (answer, answered) = oneshot::channel();
+        self.0.waiting.borrow_mut().insert(id, Waiting { errand, answer });
+        let guard = Leaving { host: self, id };
+        self.feed(Input::Arrived(id, ask));
+        let answer = answered.await.unwrap_or(Answer::Failed);
+        drop(guard);
+        answer
+    }
+
+    async fn keep_time(self) {
+        loop {
+            let rearmed = self.0.rearm.notified();
+            match self.0.wake.get() {
+                None => rearmed.await,
+                Some(at) => tokio::select! {
+                    () = rearmed => {}
+                    () = tokio::time::sleep_until(at.into()) => {
+                        self.0.wake.set(None);
+                        self.feed(Input::Woke);
+                    }
+                },
+            }
+        }
+    }
+
+    /// Whether requests can be served now.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.0.broker.borrow().is_ready()
+    }
+
+    /// Whether the program is on its way out.
+    pub fn is_stopping(&self) -> bool {
+        self.0.stopping.get()
+    }
+
+    /// From now on the program is on its way out.
+    pub fn stop(&self) {
+        self.0.stopping.set(true);
+    }
+
+    /// Requests without a final answer.
+    pub fn open(&self) -> usize {
+        self.0.broker.borrow().open()
+    }
+
+    /// Looks at the core.
+    pub fn look<T>(&self, look: impl FnOnce(&Broker) -> T) -> T {
+        look(&self.0.broker.borrow())
+    }
+}
+
+struct Leaving<'a> {
+    host: &'a Host,
+    id: RequestId,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        if self.host.0.waiting.borrow_mut().remove(&self.id).is_some() {
+            self.host.feed(Input::Left(self.id));
+        }
+    }
+}
+
+/// One line for the operators, on standard error.
+pub fn log(line: &str) {
+    eprintln!("{line}");
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,7 @@
+//! The platform's side: HTTP to clients and boxes, discovery, and the loop that carries out what the
+//! core asks for. Nothing is decided here.
+
+pub mod boxes;
+pub mod front;
+pub mod host;
+pub mod watch;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,91 @@
+//! The one reader of the settings' JSON, for the drill and the initiator alike.
+
+use crate::interface::*;
+use crate::json::{self, Fault, Look};
+
+/// Reads the settings; the text is used as a workplace.
+pub fn read(text: &mut [u8]) -> Result<Settings, Fault> {
+    let value = json::parse(text).map_err(|e| format!("the settings are {e}"))?;
+    from(Look::object(&value, "the settings")?)
+}
+
+/// The settings from an object already read.
+pub fn from(top: Look) -> Result<Settings, Fault> {
+    let (limits, domain) = (top.at("limits"), top.at("domain"));
+    Ok(Settings {
+        hosts: top.at("balancers").whole()?.clamp(1, 1 << 16) as u32,
+        rank: top.at("rank").whole()? as u32,
+        zone: top.at("my-zone").whole()? as u16,
+        zones: top.at("zones").texts()?,
+        step: top.at("step").whole()?,
+        list_on_request: top.at("membership-mode").text()? == "on_request",
+        classes: top.at("lanes").list()?.into_iter().map(class).collect::<Result<_, _>>()?,
+        plans: top.at("plans").list()?.into_iter().map(plan).collect::<Result<_, _>>()?,
+        rules: rules(top.at("invariants"))?,
+        try_limit: limits.at("try-limit").whole()? as u32,
+        second_copies: limits.at("second-copies").yes()?,
+        peers: limits.at("peers").yes()?,
+        probes: limits.at("probes").yes()?,
+        cancels: limits.at("cancelling").yes()?,
+        retry_after: limits.at("retry-after").yes()?,
+        retry_after_top: limits.at("max-retry-after").whole()?,
+        cold_bears: domain.at("cold-bears").real()?,
+        keepalive: limits.at("keepalive").whole()?,
+        connect_timeout: limits.at("connect-timeout").whole()?,
+        load_fields: top.at("report").at("fields").texts()?,
+        meter_period: domain.at("meter-period").whole()?,
+        unit_mean: domain.at("unit-mean").real()?,
+        units_top: domain.at("units-top").real()?,
+        share_worth: domain.at("share-worth").real()?,
+        spare_worth: domain.at("beyond-share").real()?,
+    })
+}
+
+fn class(lane: Look) -> Result<Class, Fault> {
+    Ok(Class {
+        name: lane.at("name").text()?.into(),
+        aim: lane.at("aim").whole()?,
+        deadline: lane.at("deadline").whole()?,
+        late_worth: lane.at("late-worth").real()?,
+        value: lane.at("value").real()?,
+        effect: match lane.at("idempotency").text()? {
+            "idempotent" => Effect::Safe,
+            "deduplicated" => Effect::Keyed,
+            _ => Effect::Unsafe,
+        },
+        group: match lane.at("group").text()? {
+            "all" => Group::All,
+            "zone" => Group::Zone,
+            _ => Group::Shard,
+        },
+        memory: lane.at("memory-span").whole()?,
+        ordered: lane.at("keep-order").yes()?,
+    })
+}
+
+fn plan(plan: Look) -> Result<Plan, Fault> {
+    Ok(Plan {
+        name: plan.at("name").text()?.into(),
+        rate: plan.at("base-rate").real()?,
+        reserve: plan.at("guaranteed").real()?,
+        limit: plan.at("never-over").real()?,
+        burst: plan.at("limit-burst").real()?,
+        tolerance: plan.at("tolerance").real()?,
+        weight: plan.at("shares").number()?.unwrap_or(1.0),
+        price: plan.at("price").number()?.unwrap_or(1.0),
+    })
+}
+
+fn rules(rules: Look) -> Result<Rules, Fault> {
+    Ok(Rules {
+        ask_within: rules.at("ask-within").whole()?,
+        start_capacity: rules.at("start-capacity").real()?,
+        warm_up: rules.at("warm-up").whole()?,
+        overload: rules.at("overload-factor").real()?,
+        tip_after: rules.at("tip-after").whole()?,
+        order_rest: rules.at("order-pause").whole()?,
+        budget_span: rules.at("look-back").whole()?,
+        budget_free: rules.at("extra-free").number()?,
+        budget_share: rules.at("further-ratio").number()?,
+    })
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,7 +5,7 @@
 
 use crate::choice::Scheduler;
 use crate::interface::*;
-use serde_json::Value;
+use crate::settings;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{self, Read, Write};
@@ -183,11 +183,8 @@
 
 fn provision(record: Cut, tail: &[u8], now: Nanos) -> Result<Hosted, Fault> {
     let text = record.part(11, tail, 1)?;
-    let value: Value = match serde_json::from_slice(text) {
-        Ok(value) => value,
-        Err(e) => return fault(format!("the settings are not JSON: {e}")),
-    };
-    let (settings, fields) = settings(&value)?;
+    let settings = settings::read(&mut text.to_vec()).map_err(Fault)?;
+    let fields = settings.load_fields.clone();
     Ok(Hosted { scheduler: Scheduler::new(settings, record.u64(3), now), fields })
 }
 
@@ -293,133 +290,6 @@
     Ok(load)
 }
 
-/// Walks the settings; what is absent or null reads as nothing, what has another type is a fault.
-#[derive(Clone, Copy)]
-struct Look<'a>(Option<&'a Value>);
-
-impl<'a> Look<'a> {
-    fn at(self, name: &str) -> Look<'a> {
-        Look(self.0.and_then(|v| v.get(name)).filter(|v| !v.is_null()))
-    }
-    fn number(self) -> Result<Option<f64>, Fault> {
-        match self.0 {
-            None => Ok(None),
-            Some(v) => match v.as_f64() {
-                Some(n) if n.is_finite() => Ok(Some(n)),
-                _ => fault(format!("a setting should be a number: {v}")),
-            },
-        }
-    }
-    fn real(self) -> Result<f64, Fault> {
-        Ok(self.number()?.unwrap_or(0.0))
-    }
-    fn whole(self) -> Result<u64, Fault> {
-        Ok(self.real()? as u64)
-    }
-    fn yes(self) -> Result<bool, Fault> {
-        match self.0 {
-            None => Ok(false),
-            Some(Value::Bool(b)) => Ok(*b),
-            Some(v) => fault(format!("a setting should be true or false: {v}")),
-        }
-    }
-    fn text(self) -> Result<&'a str, Fault> {
-        match self.0 {
-            None => Ok(""),
-            Some(Value::String(s)) => Ok(s),
-            Some(v) => fault(format!("a setting should be text: {v}")),
-        }
-    }
-    fn list(self) -> Result<Vec<Look<'a>>, Fault> {
-        match self.0 {
-            None => Ok(Vec::new()),
-            Some(Value::Array(a)) => Ok(a.iter().map(|v| Look(Some(v))).collect()),
-            Some(v) => fault(format!("a setting should be a list: {v}")),
-        }
-    }
-}
-
-fn settings(value: &Value) -> Result<(Settings, Vec<String>), Fault> {
-    if !value.is_object() {
-        return fault("the settings are not a JSON object");
-    }
-    let top = Look(Some(value));
-    let (limits, domain) = (top.at("limits"), top.at("domain"));
-    let settings = Settings {
-        hosts: top.at("balancers").whole()?.clamp(1, 1 << 16) as u32,
-        rank: top.at("rank").whole()? as u32,
-        zone: top.at("my-zone").whole()? as u16,
-        step: top.at("step").whole()?,
-        list_on_request: top.at("membership-mode").text()? == "on_request",
-        classes: top.at("lanes").list()?.into_iter().map(class).collect::<Result<_, _>>()?,
-        plans: top.at("plans").list()?.into_iter().map(plan).collect::<Result<_, _>>()?,
-        rules: rules(top.at("invariants"))?,
-        try_limit: limits.at("try-limit").whole()? as u32,
-        second_copies: limits.at("second-copies").yes()?,
-        peers: limits.at("peers").yes()?,
-        probes: limits.at("probes").yes()?,
-        cancels: limits.at("cancelling").yes()?,
-        retry_after: limits.at("retry-after").yes()?,
-        retry_after_top: limits.at("max-retry-after").whole()?,
-        cold_bears: domain.at("cold-bears").real()?,
-        meter_period: domain.at("meter-period").whole()?,
-        unit_mean: domain.at("unit-mean").real()?,
-        units_top: domain.at("units-top").real()?,
-        share_worth: domain.at("share-worth").real()?,
-        spare_worth: domain.at("beyond-share").real()?,
-    };
-    let fields = top.at("report").at("fields").list()?;
-    let fields = fields.into_iter().map(|f| f.text().map(String::from)).collect::<Result<_, _>>()?;
-    Ok((settings, fields))
-}
-
-fn class(lane: Look) -> Result<Class, Fault> {
-    Ok(Class {
-        aim: lane.at("aim").whole()?,
-        deadline: lane.at("deadline").whole()?,
-        late_worth: lane.at("late-worth").real()?,
-        value: lane.at("value").real()?,
-        effect: match lane.at("idempotency").text()? {
-            "idempotent" => Effect::Safe,
-            "deduplicated" => Effect::Keyed,
-            _ => Effect::Unsafe,
-        },
-        group: match lane.at("group").text()? {
-            "all" => Group::All,
-            "zone" => Group::Zone,
-            _ => Group::Shard,
-        },
-        memory: lane.at("memory-span").whole()?,
-        ordered: lane.at("keep-order").yes()?,
-    })
-}
-
-fn plan(plan: Look) -> Result<Plan, Fault> {
-    Ok(Plan {
-        rate: plan.at("base-rate").real()?,
-        reserve: plan.at("guaranteed").real()?,
-        limit: plan.at("never-over").real()?,
-        burst: plan.at("limit-burst").real()?,
-        tolerance: plan.at("tolerance").real()?,
-        weight: plan.at("shares").number()?.unwrap_or(1.0),
-        price: plan.at("price").number()?.unwrap_or(1.0),
-    })
-}
-
-fn rules(rules: Look) -> Result<Rules, Fault> {
-    Ok(Rules {
-        ask_within: rules.at("ask-within").whole()?,
-        start_capacity: rules.at("start-capacity").real()?,
-        warm_up: rules.at("warm-up").whole()?,
-        overload: rules.at("overload-factor").real()?,
-        tip_after: rules.at("tip-after").whole()?,
-        order_rest: rules.at("order-pause").whole()?,
-        budget_span: rules.at("look-back").whole()?,
-        budget_free: rules.at("extra-free").number()?,
-        budget_share: rules.at("further-ratio").number()?,
-    })
-}
-
 /// A reply being written.
 #[derive(Default)]
 struct Reply {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,6 +10,7 @@
 
 pub fn class(effect: Effect) -> Class {
     Class {
+        name: String::new(),
         aim: 500 * MS,
         deadline: 3 * S,
         late_worth: 0.2,
@@ -23,8 +24,16 @@
 
 /// Three hosts, a plan with a limit (number 0) and one without (number 1).
 pub fn settings() -> Settings {
-    let limited =
-        Plan { rate: 5.0, reserve: 2.0, limit: 40.0, burst: 60.0, tolerance: 8.0, weight: 1.0, price: 1.0 };
+    let limited = Plan {
+        name: String::new(),
+        rate: 5.0,
+        reserve: 2.0,
+        limit: 40.0,
+        burst: 60.0,
+        tolerance: 8.0,
+        weight: 1.0,
+        price: 1.0,
+    };
     let free = Plan { limit: 0.0, burst: 0.0, tolerance: 0.0, weight: 3.0, ..limited.clone() };
     Settings {
         hosts: 3,
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::*;
+use proptest::prelude::*;
 use shaletack::choice::Scheduler;
 use shaletack::interface::*;
-use proptest::prelude::*;
 use std::collections::BTreeMap;
 
 /// One drawn step: which host, what kind, and figures to fill it.
