NBD front on the same core: handshake, structured replies, boxes as NBD client

One whole path: fixed newstyle options, READ/WRITE/FLUSH/DISC with FUA and DF, requests split at extent borders and answered once, refusals (ENOMEM, the text says when to come back) apart from failures (EIO), ESHUTDOWN while stopping. The accept-and-stop loop is shared by both fronts (net/gate.rs). Checked by stories against stand-in boxes and clients (tests/nbd.rs): an error chunk after partial data, a reply that breaks off, a silent box (its write goes out once), a box gone or refusing, a client that leaves in mid reply, a stop with work in hand. Ruled out: that a flush over another connection covers a write on a box without CAN_MULTI_CONN; such a box is written to with FUA.

--- a/src/main.rs
+++ b/src/main.rs
@@ -3,35 +3,60 @@
 use lexopt::prelude::*;
 use shaletack::broker::{Broker, Clock, Input};
 use shaletack::config::{self, Config};
+use shaletack::interface::Settings;
+use shaletack::nbd;
 use shaletack::net::{boxes, front, host, watch};
+use shaletack::operator::{self, Operator};
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
 use std::process::ExitCode;
 use std::time::{Instant, SystemTime};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 
 const USAGE: &str = "\
-usage: shaletack [serve] [--config FILE]    serve until SIGTERM (the default)
-       shaletack check-config [FILE]        read a configuration, say what is wrong with it
+usage: shaletack [serve] [--config FILE]    serve the platform until SIGTERM (the default)
+       shaletack serve --operator FILE      serve NBD as the operator's file says
+       shaletack check-config [FILE]        read a configuration and say what is wrong with it
+       shaletack check-config --operator FILE
        shaletack version                    print the version
 The configuration's file is FILE, or else $ROUTER_CONFIG.";
 
 /// Descriptors kept for what is neither a client's nor a box's connection.
 const SPARE_SOCKETS: usize = 32;
 
+/// Which front, and the file that sets it up.
+enum Source {
+    Platform(Option<String>),
+    Operator(String),
+}
+
 enum Command {
-    Serve(Option<String>),
-    CheckConfig(Option<String>),
+    Serve(Source),
+    CheckConfig(Source),
     Version,
     Help,
 }
 
 fn main() -> ExitCode {
     let done = match command(lexopt::Parser::from_env()) {
-        Ok(Command::Serve(file)) => load(file).and_then(serve),
-        Ok(Command::CheckConfig(file)) => load(file).map(|config| {
+        Ok(Command::Serve(Source::Platform(file))) => {
+            load(file).and_then(|config| actix_rt::System::new().block_on(run(config)))
+        }
+        Ok(Command::Serve(Source::Operator(file))) => {
+            load_operator(&file).and_then(|o| actix_rt::System::new().block_on(run_nbd(o)))
+        }
+        Ok(Command::CheckConfig(Source::Platform(file))) => load(file).map(|config| {
             let (boxes, plans) = (config.known.entries.len(), config.settings.plans.len());
             println!("configuration of {} is sound: {boxes} boxes known, {plans} plans", config.name);
         }),
+        Ok(Command::CheckConfig(Source::Operator(file))) => load_operator(&file).map(|o| {
+            let (exports, plans) = (o.exports.len(), o.settings.plans.len());
+            println!(
+                "{file} is sound: {exports} exports, {plans} contracts, {} boxes",
+                o.boxes.entries.len()
+            );
+        }),
         Ok(Command::Version) => {
             println!("shaletack {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -52,10 +77,11 @@
 }
 
 fn command(mut args: lexopt::Parser) -> Result<Command, lexopt::Error> {
-    let (mut name, mut file) = (None, None);
+    let (mut name, mut file, mut operator) = (None, None, None);
     while let Some(arg) = args.next()? {
         match arg {
             Long("config") => file = Some(args.value()?.string()?),
+            Long("operator") => operator = Some(args.value()?.string()?),
             Long("help") | Short('h') => return Ok(Command::Help),
             Long("version") | Short('V') => return Ok(Command::Version),
             Value(word) if name.is_none() => name = Some(word.string()?),
@@ -63,9 +89,10 @@
             other => return Err(other.unexpected()),
         }
     }
+    let source = operator.map_or(Source::Platform(file), Source::Operator);
     match name.as_deref() {
-        None | Some("serve") => Ok(Command::Serve(file)),
-        Some("check-config") => Ok(Command::CheckConfig(file)),
+        None | Some("serve") => Ok(Command::Serve(source)),
+        Some("check-config") => Ok(Command::CheckConfig(source)),
         Some("version") => Ok(Command::Version),
         Some("help") => Ok(Command::Help),
         Some(other) => Err(format!("'{other}' is not a sub-command").into()),
@@ -79,17 +106,35 @@
     config::read(&mut text, |name| std::env::var(name).ok()).map_err(|fault| format!("{file}: {fault}"))
 }
 
-fn serve(config: Config) -> Result<(), String> {
-    actix_rt::System::new().block_on(run(config))
+fn load_operator(file: &str) -> Result<Operator, String> {
+    let mut text = std::fs::read(file).map_err(|e| format!("{file}: {e}"))?;
+    operator::read(&mut text).map_err(|fault| format!("{file}: {fault}"))
+}
+
+fn start(settings: Settings, seed: u64) -> host::Host {
+    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let now = Instant::now();
+    host::Host::start(Broker::new(settings, seed, Clock::new(now, unix), now))
+}
+
+async fn run_nbd(operator: Operator) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let host = start(operator.settings.clone(), RandomState::new().build_hasher().finish());
+    host.feed(Input::List(operator.boxes.clone()));
+    let listener =
+        TcpListener::bind(operator.listen).await.map_err(|e| format!("{}: {e}", operator.listen))?;
+    host::log(&format!("NBD on {}: {} exports", operator.listen, operator.exports.len()));
+    nbd::front::serve(host, operator, listener, async move {
+        term.recv().await;
+    })
+    .await;
+    Ok(())
 }
 
 async fn run(config: Config) -> Result<(), String> {
     let Config { name, listen, discovery, seed, sockets, known, settings } = config;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    let now = Instant::now();
-    let broker = Broker::new(settings.clone(), seed, Clock::new(now, unix), now);
-    let host = host::Host::start(broker);
+    let host = start(settings.clone(), seed);
     let revision = known.revision;
     host::log(&format!("{name} starts: {} boxes known of revision {revision}", known.entries.len()));
     host.feed(Input::List(known));
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,6 +1,7 @@
 //! The platform's front: HTTP/1.1 to clients, with actix-http.
 
 use super::boxes::{Passed, BODY_MOST};
+use super::gate::{Closing, Gate};
 use super::host::{log, Host};
 use crate::broker::{Answer, Ask};
 use crate::interface::{Settings, VolumeId};
@@ -10,26 +11,17 @@
 use actix_service::{fn_service, Service, ServiceFactory};
 use awc::Client;
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
-use std::cell::Cell;
+use futures_util::{FutureExt, StreamExt};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
 
 /// A client that opens a connection may leave it unused for so long; actix-http's 5 s would cut off
 /// clients that keep connections in store.
 const IDLE: Duration = Duration::from_secs(75);
 /// After the last byte of a closing answer a client has so long to take it.
 const LINGER: Duration = Duration::from_secs(1);
-/// How long a stopping program still accepts: clients keep coming until they know.
-const STILL_ACCEPTS: Duration = Duration::from_millis(450);
-/// Connections no request is on are closed that long after the signal.
-const IDLE_CLOSES: Duration = Duration::from_millis(550);
-/// What an answer may take on its way out once it is final.
-const LAST_ANSWERS: Duration = Duration::from_millis(500);
-
 /// What the front needs to serve.
 pub struct Front {
     /// The core.
@@ -42,37 +34,18 @@
     pub most: usize,
 }
 
-struct Count {
-    open: Cell<usize>,
-    fell: Notify,
-}
-
-/// Serves until `stop` says so, then ends as the platform asks: it goes on accepting for a while, closes
-/// the listener and idle connections, and finishes what was taken.
+/// Serves until `stop` ends, and then what was taken.
 pub async fn serve(front: Front, listener: TcpListener, stop: impl std::future::Future<Output = ()>) {
     let Front { host, settings, client, most } = front;
-    let closing = Rc::new(Notify::new());
-    let closed = Rc::new(Cell::new(false));
+    let closing = Closing::default();
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let signal = {
-        let (closing, closed) = (closing.clone(), closed.clone());
-        move || {
-            let (closing, closed) = (closing.clone(), closed.clone());
-            async move {
-                let told = closing.notified();
-                if !closed.get() {
-                    told.await;
-                }
-            }
-        }
-    };
-    let handler = {
-        let (host, settings) = (host.clone(), Rc::new(settings));
-        fn_service(move |request: Request| {
-            let (host, settings, client) = (host.clone(), settings.clone(), client.clone());
-            async move { Ok::<_, Infallible>(handle(host, settings, client, request).await) }
-        })
-    };
+    let longest = Duration::from_nanos(longest);
+    let gate = Gate { listener, host: host.clone(), most, longest, closing: closing.clone() };
+    let settings = Rc::new(settings);
+    let handler = fn_service(move |request: Request| {
+        let (host, settings, client) = (host.clone(), settings.clone(), client.clone());
+        async move { Ok::<_, Infallible>(handle(host, settings, client, request).await) }
+    });
     // A client that closes its connection while its request is open has left: the service future is
     // dropped then, which half-closed connections would prevent.
     let http = HttpService::<TcpStream, _, BoxBody>::build()
@@ -80,73 +53,12 @@
         .client_request_timeout(IDLE)
         .client_disconnect_timeout(LINGER)
         .h1_allow_half_closed(false)
-        .graceful_shutdown_signal(signal)
+        .graceful_shutdown_signal(move || closing.clone().told())
         .h1(handler);
     let Ok(http) = http.new_service(()).await else { return log("the front could not be set up") };
-    let http = Rc::new(http);
-    let count = Rc::new(Count { open: Cell::new(0), fell: Notify::new() });
-    let start = |stream: TcpStream| {
-        let (http, count) = (http.clone(), count.clone());
-        count.open.set(count.open.get() + 1);
-        // Answers are small; waiting to fill a segment would make them late.
-        let _ = stream.set_nodelay(true);
-        actix_rt::spawn(async move {
-            // How a client's connection ends is the client's affair; its request knows by being dropped.
-            let _ = http.call((stream, None)).await;
-            count.open.set(count.open.get() - 1);
-            count.fell.notify_waiters();
-        });
-    };
-    let mut stop = std::pin::pin!(stop);
-    let mut until: Option<tokio::time::Instant> = None;
-    loop {
-        let room = async {
-            while count.open.get() >= most {
-                count.fell.notified().await;
-            }
-        };
-        let accepted = async {
-            room.await;
-            listener.accept().await
-        };
-        tokio::select! {
-            accepted = accepted => match accepted {
-                Ok((stream, _)) => start(stream),
-                Err(error) => {
-                    log(&format!("a connection could not be accepted: {error}"));
-                    tokio::time::sleep(Duration::from_millis(10)).await;
-                }
-            },
-            () = &mut stop, if until.is_none() => {
-                log(&format!("stopping: {} connections, {} requests open", count.open.get(), host.open()));
-                host.stop();
-                until = Some(tokio::time::Instant::now());
-            }
-            () = sleep_after(until, STILL_ACCEPTS), if until.is_some() => break,
-        }
-    }
-    // What waits in the backlog was taken: a closed listener would reset it.
-    while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::from_millis(1), listener.accept()).await {
-        start(stream);
-    }
-    drop(listener);
-    sleep_after(until, IDLE_CLOSES).await;
-    closed.set(true);
-    closing.notify_waiters();
-    let ends = Duration::from_nanos(longest) + LAST_ANSWERS;
-    let finished = async {
-        while count.open.get() > 0 {
-            count.fell.notified().await;
-        }
-    };
-    let whole = tokio::time::timeout(ends, finished).await.is_ok();
-    log(&format!("stopped: {}", if whole { "all that was taken is answered" } else { "time ran out" }));
-}
-
-async fn sleep_after(start: Option<tokio::time::Instant>, span: Duration) {
-    if let Some(start) = start {
-        tokio::time::sleep_until(start + span).await;
-    }
+    // How a client's connection ends is the client's affair; its request knows by being dropped.
+    let serve = |stream| http.call((stream, None)).map(|_| ());
+    gate.serve(stop, serve).await;
 }
 
 async fn handle(
--- /dev/null
+++ b/src/net/gate.rs
@@ -0,0 +1,127 @@
+//! The way in and out that all fronts share: accepting, and ending as the platform asks.
+
+use super::host::{log, Host};
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// How long a stopping program still accepts: clients keep coming until they know.
+const STILL_ACCEPTS: Duration = Duration::from_millis(450);
+/// Connections no request is on are closed that long after the signal.
+const IDLE_CLOSES: Duration = Duration::from_millis(550);
+/// What an answer may take on its way out once it is final.
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
+
+/// Tells connections to close once they are idle.
+#[derive(Clone, Default)]
+pub struct Closing(Rc<(Cell<bool>, Notify)>);
+
+impl Closing {
+    /// Ends when connections are to close.
+    pub async fn told(self) {
+        let told = self.0 .1.notified();
+        if !self.0 .0.get() {
+            told.await;
+        }
+    }
+
+    fn tell(&self) {
+        self.0 .0.set(true);
+        self.0 .1.notify_waiters();
+    }
+}
+
+/// One front's listener.
+pub struct Gate {
+    /// Where clients come in.
+    pub listener: TcpListener,
+    /// The core.
+    pub host: Host,
+    /// The most connections at a time; more wait in the backlog.
+    pub most: usize,
+    /// The longest that any request may be open.
+    pub longest: Duration,
+    /// Tells this front's connections to close.
+    pub closing: Closing,
+}
+
+struct Count {
+    open: Cell<usize>,
+    fell: Notify,
+}
+
+impl Count {
+    async fn below(&self, most: usize) {
+        while self.open.get() >= most {
+            self.fell.notified().await;
+        }
+    }
+}
+
+impl Gate {
+    /// Serves each connection until `stop` ends, then goes on accepting for a while, closes the listener
+    /// and idle connections, and finishes what was taken.
+    pub async fn serve<F: Future<Output = ()> + 'static>(
+        self,
+        stop: impl Future<Output = ()>,
+        serve: impl Fn(TcpStream) -> F,
+    ) {
+        let Gate { listener, host, most, longest, closing } = self;
+        let count = Rc::new(Count { open: Cell::new(0), fell: Notify::new() });
+        let start = |stream: TcpStream| {
+            // Answers are small; waiting to fill a segment would make them late.
+            let _ = stream.set_nodelay(true);
+            let (connection, count) = (serve(stream), count.clone());
+            count.open.set(count.open.get() + 1);
+            actix_rt::spawn(async move {
+                connection.await;
+                count.open.set(count.open.get() - 1);
+                count.fell.notify_waiters();
+            });
+        };
+        let mut stop = std::pin::pin!(stop);
+        let mut stopped_at: Option<Instant> = None;
+        loop {
+            let accepted = async {
+                count.below(most).await;
+                listener.accept().await
+            };
+            tokio::select! {
+                accepted = accepted => match accepted {
+                    Ok((stream, _)) => start(stream),
+                    Err(error) => {
+                        log(&format!("a connection could not be accepted: {error}"));
+                        tokio::time::sleep(Duration::from_millis(10)).await;
+                    }
+                },
+                () = &mut stop, if stopped_at.is_none() => {
+                    log(&format!("stopping: {} connections, {} requests open", count.open.get(), host.open()));
+                    host.stop();
+                    stopped_at = Some(Instant::now());
+                }
+                () = after(stopped_at, STILL_ACCEPTS), if stopped_at.is_some() => break,
+            }
+        }
+        // What waits in the backlog was taken: a closed listener would reset it.
+        while let Ok(Ok((stream, _))) =
+            tokio::time::timeout(Duration::from_millis(1), listener.accept()).await
+        {
+            start(stream);
+        }
+        drop(listener);
+        after(stopped_at, IDLE_CLOSES).await;
+        closing.tell();
+        let whole = tokio::time::timeout(longest + LAST_ANSWERS, count.below(1)).await.is_ok();
+        log(&format!("stopped: {}", if whole { "all that was taken is answered" } else { "time ran out" }));
+    }
+}
+
+async fn after(start: Option<Instant>, span: Duration) {
+    if let Some(start) = start {
+        tokio::time::sleep_until(start + span).await;
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod boxes;
 pub mod front;
+pub mod gate;
 pub mod host;
 pub mod watch;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A driver for one module alone: feeds events, keeps what it did.
 #![allow(dead_code)]
 
+pub mod net;
+
 use shaletack::choice::Scheduler;
 use shaletack::interface::*;
 
--- /dev/null
+++ b/tests/nbd.rs
@@ -0,0 +1,175 @@
+//! The second front: stories between NBD clients, the initiator and NBD boxes, each on loopback.
+
+mod common;
+use common::net::*;
+use shaletack::nbd::codec::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+async fn two_boxes(first: Script, second: Script) -> (NbdBox, NbdBox) {
+    (NbdBox::start(first, 1 << 16).await, NbdBox::start(second, 1 << 17).await)
+}
+
+fn over(boxes: &(NbdBox, NbdBox)) -> shaletack::operator::Operator {
+    operator(&[(boxes.0.address, 0), (boxes.1.address, 1)])
+}
+
+#[test]
+fn options_are_answered_as_the_protocol_says() {
+    story(async {
+        let (front, _, _) =
+            nbd_front(operator(&[("127.0.0.1:9".parse().unwrap(), 0), ("127.0.0.1:9".parse().unwrap(), 1)]))
+                .await;
+        let mut client = NbdClient::connect(front).await;
+        assert_eq!(client.option(5, &[]).await, [(rep::ERR_UNSUP, vec![])]);
+        let list = client.option(opt::LIST, &[]).await;
+        assert_eq!(list, [(rep::SERVER, b"\0\0\0\x05serra".to_vec()), (rep::ACK, vec![])]);
+        assert_eq!(client.option(opt::LIST, b"x").await[0].0, rep::ERR_INVALID);
+        assert_eq!(client.option(opt::INFO, &info_request("none", &[])).await[0].0, rep::ERR_UNKNOWN);
+        assert_eq!(client.option(opt::INFO, b"\0\0\xff\xff").await[0].0, rep::ERR_INVALID);
+        assert_eq!(client.option(99, &vec![0; 9000]).await[0].0, rep::ERR_TOO_BIG);
+        let infos = client.option(opt::INFO, &info_request("serra", &[info::BLOCK_SIZE])).await;
+        assert_eq!(infos[0], (rep::INFO, [&[0, 0][..], &131072u64.to_be_bytes(), &[1, 0x0d]].concat()));
+        assert!(infos.iter().any(|i| i.1.starts_with(&[0, info::BLOCK_SIZE as u8]) && i.1.len() == 14));
+        assert_eq!(client.option(opt::ABORT, &[]).await[0].0, rep::ACK);
+        assert_eq!(client.0.read(&mut [0]).await.unwrap(), 0);
+        // The old way in ends in commands as well, with the padding that this client did not forgo.
+        let mut old = NbdClient::connect(front).await;
+        old.0.write_all(&option(opt::EXPORT_NAME, b"serra")).await.unwrap();
+        assert_eq!((old.0.read_u64().await.unwrap(), old.0.read_u16().await.unwrap()), (131072, 0x10d));
+        old.send(cmd::READ, 0, 5, 131072, 1, &[]).await;
+        assert_eq!(old.0.read_u32().await.unwrap(), SIMPLE_MAGIC);
+        assert_eq!((old.0.read_u32().await.unwrap(), old.0.read_u64().await.unwrap()), (errno::INVAL, 5));
+        // What does not begin with a magic number ends the connection.
+        old.0.write_all(&[0; 28]).await.unwrap();
+        assert_eq!(old.0.read(&mut [0]).await.unwrap_or(0), 0);
+    });
+}
+
+#[test]
+fn what_is_written_over_an_extents_border_is_read_back_whole() {
+    story(async {
+        let boxes = two_boxes(Script::Serve, Script::Serve).await;
+        let (front, _, host) = nbd_front(over(&boxes)).await;
+        let mut client = NbdClient::go(front).await;
+        let text: Vec<u8> = (0..20_000u32).map(|i| (i % 251) as u8).collect();
+        client.send(cmd::WRITE, flag::FUA, 1, 60_000, 20_000, &text).await;
+        assert_eq!(client.reply().await, Got { cookie: 1, ..Got::default() });
+        assert_eq!((boxes.0.count(cmd::WRITE), boxes.1.count(cmd::WRITE)), (1, 1));
+        assert!(boxes.0.seen.borrow().iter().all(|r| r.flags == flag::FUA));
+        // Commands follow one another without waiting; each has its own reply.
+        client.send(cmd::READ, 0, 2, 60_000, 20_000, &[]).await;
+        client.send(cmd::READ, flag::DF, 3, 60_000, 20_000, &[]).await;
+        client.send(cmd::FLUSH, 0, 4, 0, 0, &[]).await;
+        client.send(9, 0, 5, 0, 0, &[]).await;
+        client.send(cmd::WRITE, 0, 6, 131_000, 100, &[1; 100]).await;
+        let mut replies = Vec::new();
+        for _ in 0..5 {
+            replies.push(client.reply().await);
+        }
+        replies.sort_by_key(|r| r.cookie);
+        let errors: Vec<u32> = replies.iter().map(|r| r.error).collect();
+        assert_eq!(errors, [0, 0, 0, errno::INVAL, errno::INVAL]);
+        assert_eq!(replies[1].data.len(), 1, "one piece, as asked for");
+        assert_eq!(replies.remove(0).bytes(), text);
+        assert_eq!(replies.remove(0).bytes(), text);
+        assert_eq!((boxes.0.count(cmd::FLUSH), boxes.1.count(cmd::FLUSH)), (1, 1));
+        client.send(cmd::DISC, 0, 7, 0, 0, &[]).await;
+        assert_eq!(client.0.read(&mut [0]).await.unwrap(), 0);
+        assert_eq!(host.open(), 0);
+    });
+}
+
+/// Data that came before an error chunk is not served as if it were whole, and a read is tried again.
+#[test]
+fn an_error_chunk_after_partial_data_spoils_the_whole_read() {
+    story(async {
+        for script in [Script::ErrorAfterData, Script::HalfReply] {
+            let boxes = two_boxes(script, Script::Serve).await;
+            let (front, _, host) = nbd_front(over(&boxes)).await;
+            let mut client = NbdClient::go(front).await;
+            client.send(cmd::READ, 0, 1, 0, 8192, &[]).await;
+            let got = client.reply().await;
+            assert_eq!((got.error, got.data.len()), (errno::NOMEM, 0));
+            assert!(got.text.starts_with("refused: come back in "), "{}", got.text);
+            assert!(boxes.0.count(cmd::READ) > 1, "a read may be repeated");
+            assert_eq!(host.open(), 0);
+        }
+    });
+}
+
+#[test]
+fn a_write_that_a_silent_box_has_seen_fails_once_and_is_not_repeated() {
+    story(async {
+        let boxes = two_boxes(Script::Silent, Script::Serve).await;
+        let (front, _, host) = nbd_front(over(&boxes)).await;
+        let mut client = NbdClient::go(front).await;
+        client.send(cmd::WRITE, 0, 1, 0, 4096, &[7; 4096]).await;
+        client.send(cmd::READ, 0, 2, 70_000, 100, &[]).await;
+        assert_eq!(client.reply().await.cookie, 2, "a silent box holds up nobody else's reply");
+        let got = client.reply().await;
+        assert_eq!((got.cookie, got.error, got.text.as_str()), (1, errno::IO, "failed"));
+        assert_eq!((boxes.0.count(cmd::WRITE), host.open()), (1, 0));
+    });
+}
+
+#[test]
+fn a_box_that_is_gone_or_refuses_refuses_the_write_too() {
+    story(async {
+        let refusing = NbdBox::start(Script::NoExport, 1 << 16).await;
+        let (closed, gone) = loopback().await;
+        drop(closed);
+        for address in [refusing.address, gone] {
+            let (front, _, host) = nbd_front(operator(&[(address, 0), (address, 1)])).await;
+            let mut client = NbdClient::go(front).await;
+            client.send(cmd::WRITE, 0, 1, 0, 4096, &[7; 4096]).await;
+            let got = client.reply().await;
+            assert_eq!(got.error, errno::NOMEM, "{}", got.text);
+            assert!(got.text.starts_with("refused: come back in "), "{}", got.text);
+            assert_eq!((refusing.seen.borrow().len(), host.open()), (0, 0));
+        }
+    });
+}
+
+#[test]
+fn a_client_that_leaves_in_mid_reply_leaves_nothing_behind() {
+    story(async {
+        let boxes = two_boxes(Script::Serve, Script::Silent).await;
+        let (front, _, host) = nbd_front(over(&boxes)).await;
+        let mut client = NbdClient::go(front).await;
+        client.send(cmd::READ, 0, 1, 60_000, 10_000, &[]).await;
+        // The first box's piece is there; the second box's is not, and the client does not wait for it.
+        assert_eq!(client.0.read_u32().await.unwrap(), CHUNK_MAGIC);
+        boxes.1.came.notified().await;
+        assert_eq!(host.open(), 1);
+        drop(client);
+        while host.open() > 0 {
+            tokio::task::yield_now().await;
+        }
+        let left = host.look(|b| b.tallies()[0].1.left);
+        assert_eq!(left, 1);
+        // The front goes on with others.
+        let mut other = NbdClient::go(front).await;
+        other.send(cmd::READ, 0, 2, 0, 512, &[]).await;
+        assert_eq!(other.reply().await.error, 0);
+    });
+}
+
+#[test]
+fn a_stopping_front_finishes_what_it_took_and_takes_no_more() {
+    story(async {
+        let boxes = two_boxes(Script::Silent, Script::Serve).await;
+        let (front, stop, host) = nbd_front(over(&boxes)).await;
+        let (mut client, mut late) = (NbdClient::go(front).await, NbdClient::connect(front).await);
+        client.send(cmd::WRITE, 0, 1, 0, 4096, &[7; 4096]).await;
+        boxes.0.came.notified().await;
+        stop.notify_one();
+        while !host.is_stopping() {
+            tokio::task::yield_now().await;
+        }
+        client.send(cmd::READ, 0, 2, 70_000, 100, &[]).await;
+        assert_eq!(client.reply().await.error, errno::SHUTDOWN);
+        assert_eq!(late.option(opt::GO, &info_request("serra", &[])).await[0].0, rep::ERR_SHUTDOWN);
+        assert_eq!(client.reply().await.error, errno::IO, "what was taken gets its answer");
+        assert_eq!(client.0.read(&mut [0]).await.unwrap(), 0);
+    });
+}
