Give up unsent requests before half of their time, and always say when to come back

At fault: choice.rs, shelve() let requests without an attempt wait to their due time, and end() named a wait only where the settings say that clients heed one.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,6 +23,7 @@
 const REPEAT_COST: f64 = 0.5; // What a request costs a node that has just taken the same key.
 const RUN_ROOM: f64 = 3.0; // A run of one key may go on past the window by so many,
 const RUN_LOOK: usize = 64; // looked for among so many held.
+const UNSENT: f64 = 0.45; // One not sent in this part of its time is given up: its client may come again in time.
 const OVERTAKEN: u32 = 3; // An attempt is missed once so many later ones came back before it,
 const MISSED_LAGS: (f64, f64) = (2.0, 6.0); // and it is so many round trips old; without, the second.
 
@@ -242,6 +243,9 @@
         let class = self.set.class(job.req.class);
         let memory = job.first_run().filter(|_| class.effect == Effect::Keyed && job.out == 0);
         let until = memory.map_or(job.due, |(_, at)| job.due.min(at.saturating_add(class.memory)));
+        // A client told late that nothing was tried for it has lost that time.
+        let unsent = job.came + ((job.due - job.came) as f64 * UNSENT) as Nanos;
+        let until = if job.attempts.is_empty() { until.min(unsent) } else { until };
         let held_by = self.holders_of(job.req.shard);
         let stuck = job.out == 0 && !held_by.is_empty() && !held_by.iter().any(|n| self.group_holds(job, *n));
         let until = if stuck { self.now } else { until };
@@ -264,7 +268,7 @@
         let everywhere = class.effect == Effect::Keyed && class.group == Group::All;
         let refuse = class.effect == Effect::Safe || everywhere || job.out == 0 && job.may_have_run.is_none();
         let waited = self.now.saturating_sub(job.came) + self.trip(job.req.shard) as Nanos;
-        let retry_after = if self.set.retry_after { self.come_back(waited) } else { 0 };
+        let retry_after = self.come_back(waited);
         let refused = Action::Refuse { request: id, retry_after };
         self.acts.push(if refuse { refused } else { Action::Fail { request: id } });
         self.close(id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,8 +135,6 @@
     pub probes: bool,
     /// The host may send [`Action::Cancel`].
     pub cancels: bool,
-    /// Clients hear in a refusal when to come back.
-    pub retry_after: bool,
     /// The longest wait that they keep; 0: not stated.
     pub retry_after_top: Nanos,
     /// Units within `tip_after`, from all hosts together, that a cold node always bears.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -27,7 +27,6 @@
         peers: limits.at("peers").yes()?,
         probes: limits.at("probes").yes()?,
         cancels: limits.at("cancelling").yes()?,
-        retry_after: limits.at("retry-after").yes()?,
         retry_after_top: limits.at("max-retry-after").whole()?,
         cold_bears: domain.at("cold-bears").real()?,
         keepalive: limits.at("keepalive").whole()?,
