Stories of the HTTP front, the core and the mixed run; the list of boxes from etcd

Each failure that the libraries' sources led to expect has a story on loopback (tests/net.rs): half an answer, a redirect, a 503 without its proof, a dead idle connection, a client that leaves, a silent box, a stop, a watch that breaks. tests/broker.rs moves the core's clock by hand, so no test waits to see time. The mixed run sends the same work through both fronts over boxes that serve, fail, stay silent or are gone: the figures by class (served, refused, failed, units) are equal. etcd: range, then watch from revision+1; a created message's revision is not taken as progress, since its events may still come; compaction brings a new range, cancellation and breaks a new watch. Ruled out: that a chunk of no data is legal in NBD (the stand-in sent one, the client refused it rightly). Conclusion: both fronts keep the same rules by the same core.

--- /dev/null
+++ b/src/etcd.rs
@@ -0,0 +1,189 @@
+//! The list of boxes from etcd, by the JSON gateway of its v3 API: a range, then a watch from there on.
+//!
+//! Each key below the prefix is a box's id, its value the box's entry in discovery's form.
+
+use crate::broker::Input;
+use crate::interface::{ListKind, Readiness};
+use crate::json::{self, Look};
+use crate::members::{self, Member, Members};
+use crate::net::host::{log, Host};
+use crate::net::lines::Lines;
+use crate::operator::Etcd;
+use awc::{Client, Connector};
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use std::time::Duration;
+
+/// etcd sends nothing while nothing changes; after so long a watch is asked for anew, in case it is dead.
+const SILENT: Duration = Duration::from_secs(30);
+const ANSWER: Duration = Duration::from_secs(3);
+const FIRST_WAIT: Duration = Duration::from_millis(100);
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+const LIST_MOST: usize = 4 << 20;
+
+/// Why a watch ended.
+enum Over {
+    /// It can go on from the last revision.
+    Broken(String),
+    /// The revisions that follow are gone: the whole list is needed.
+    Compacted,
+}
+
+/// Follows the list; never ends.
+pub async fn follow(host: Host, etcd: Etcd) {
+    let connector = Connector::new().timeout(ANSWER).conn_lifetime(Duration::MAX);
+    let client = Client::builder().connector(connector).disable_redirects().disable_timeout().finish();
+    let (mut revision, mut wait) = (None, FIRST_WAIT);
+    loop {
+        let before = revision;
+        let why = match revision {
+            None => match range(&host, &client, &etcd).await {
+                Ok(at) => {
+                    revision = Some(at);
+                    continue;
+                }
+                Err(why) => why,
+            },
+            Some(ref mut at) => match watch(&host, &client, &etcd, at).await {
+                Over::Broken(why) => why,
+                Over::Compacted => {
+                    revision = None;
+                    "compacted".into()
+                }
+            },
+        };
+        wait = if revision > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
+        log(&format!("etcd: {why}; again from {revision:?} in {} ms", wait.as_millis()));
+        tokio::time::sleep(wait).await;
+    }
+}
+
+/// The keys from the prefix on, up to the first that does not begin with it.
+fn keys(prefix: &str) -> String {
+    let mut end = prefix.as_bytes().to_vec();
+    while end.last() == Some(&0xff) {
+        end.pop();
+    }
+    match end.last_mut() {
+        Some(last) => *last += 1,
+        None => end.push(0),
+    }
+    format!(r#""key":"{}","range_end":"{}""#, STANDARD.encode(prefix), STANDARD.encode(end))
+}
+
+async fn range(host: &Host, client: &Client, etcd: &Etcd) -> Result<u64, String> {
+    let url = format!("http://{}/v3/kv/range", etcd.address);
+    let asked = async {
+        let request = client.post(url).content_type("application/json");
+        let mut response = request.send_body(format!("{{{}}}", keys(&etcd.prefix))).await;
+        let response = response.as_mut().map_err(|e| format!("could not be asked: {e}"))?;
+        if !response.status().is_success() {
+            return Err(format!("answered {}", response.status()));
+        }
+        response.body().limit(LIST_MOST).await.map_err(|e| format!("broke: {e}"))
+    };
+    let body = tokio::time::timeout(ANSWER, asked).await.map_err(|_| "no answer")??;
+    let mut text = body.to_vec();
+    let value = json::parse(&mut text)?;
+    let top = Look::object(&value, "the answer")?;
+    let entries = top.at("kvs").list()?.into_iter().filter_map(|kv| entry(kv, etcd)).collect();
+    let revision = number(top.at("header").at("revision"))?;
+    host.feed(Input::List(Members { revision, kind: ListKind::Full, entries }));
+    Ok(revision)
+}
+
+/// 64-bit numbers are texts in the gateway's JSON.
+fn number(look: Look) -> Result<u64, String> {
+    match look.text() {
+        Ok("") => Ok(0),
+        Ok(digits) => digits.parse().map_err(|_| format!("'{digits}' is not a revision")),
+        Err(_) => look.whole(),
+    }
+}
+
+/// A key's box; one that can't be read is passed over, for the others' sake.
+fn entry(kv: Look, etcd: &Etcd) -> Option<Member> {
+    let read = || {
+        let decode = |name| STANDARD.decode(kv.at(name).text()?).map_err(|e| format!("{name}: {e}"));
+        let (key, mut value) = (decode("key")?, decode("value")?);
+        let id = id_of(&key, etcd)?;
+        let entry = json::parse(&mut value)?;
+        let member = members::member(Look::object(&entry, "a box's entry")?)?;
+        if member.id == id {
+            Ok(member)
+        } else {
+            Err(format!("key {id} holds the entry of {}", member.id))
+        }
+    };
+    read().map_err(|fault: String| log(&format!("etcd: an entry is passed over: {fault}"))).ok()
+}
+
+fn id_of(key: &[u8], etcd: &Etcd) -> Result<String, String> {
+    let id = std::str::from_utf8(key).ok().and_then(|key| key.strip_prefix(&etcd.prefix));
+    id.filter(|id| !id.is_empty()).map(String::from).ok_or("a key that names no box".into())
+}
+
+fn removed(kv: Look, etcd: &Etcd) -> Option<Member> {
+    let key = STANDARD.decode(kv.at("key").text().ok()?).ok()?;
+    let (id, zone) = (id_of(&key, etcd).ok()?, String::new());
+    Some(Member { id, address: None, zone, shard: 0, readiness: Readiness::Gone, up_since: None })
+}
+
+async fn watch(host: &Host, client: &Client, etcd: &Etcd, revision: &mut u64) -> Over {
+    let url = format!("http://{}/v3/watch", etcd.address);
+    let (keys, from) = (keys(&etcd.prefix), *revision + 1);
+    let create =
+        format!(r#"{{"create_request":{{{keys},"start_revision":"{from}","progress_notify":true}}}}"#);
+    let sent = client.post(url).content_type("application/json").send_body(create);
+    let response = match tokio::time::timeout(ANSWER, sent).await {
+        Ok(Ok(response)) if response.status().is_success() => response,
+        Ok(Ok(response)) => return Over::Broken(format!("watch answered {}", response.status())),
+        Ok(Err(error)) => return Over::Broken(format!("watch could not be asked: {error}")),
+        Err(_) => return Over::Broken("no answer to a watch".into()),
+    };
+    let mut lines = Lines::new(response);
+    loop {
+        let line = match lines.next(SILENT).await {
+            Ok(line) if line.iter().all(u8::is_ascii_whitespace) => continue,
+            Ok(line) => line,
+            Err(why) => return Over::Broken(format!("watch {why}")),
+        };
+        match news(line, etcd, revision) {
+            Ok(Some(members)) => host.feed(Input::List(members)),
+            Ok(None) => {}
+            Err(over) => return over,
+        }
+    }
+}
+
+/// What one message of a watch brings.
+fn news(mut line: Vec<u8>, etcd: &Etcd, revision: &mut u64) -> Result<Option<Members>, Over> {
+    let broken = Over::Broken;
+    let value = json::parse(&mut line).map_err(broken)?;
+    let top = Look::object(&value, "a watch's message").map_err(broken)?;
+    let result = top.at("result");
+    if !result.is_there() {
+        return Err(Over::Broken("watch answered an error".into()));
+    }
+    if number(result.at("compact_revision")).map_err(broken)? > 0 {
+        return Err(Over::Compacted);
+    }
+    if result.at("canceled").yes().map_err(broken)? {
+        let why = result.at("cancel_reason").text().unwrap_or_default();
+        return Err(Over::Broken(format!("watch cancelled: {why}")));
+    }
+    // What tells of its creation alone bears a revision whose events may still come.
+    if result.at("created").yes().map_err(broken)? {
+        return Ok(None);
+    }
+    let at = number(result.at("header").at("revision")).map_err(broken)?;
+    let events = result.at("events").list().map_err(broken)?;
+    let change = |event: Look| match event.at("type").text() {
+        Ok("DELETE") => removed(event.at("kv"), etcd),
+        _ => entry(event.at("kv"), etcd),
+    };
+    let entries: Vec<Member> = events.into_iter().filter_map(change).collect();
+    *revision = at.max(*revision);
+    let members = Members { revision: *revision, kind: ListKind::Changes, entries };
+    Ok(Some(members).filter(|m| !m.entries.is_empty()))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod config;
 pub mod ending;
+pub mod etcd;
 pub mod interface;
 pub mod json;
 mod measure;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use lexopt::prelude::*;
 use shaletack::broker::{Broker, Clock, Input};
 use shaletack::config::{self, Config};
+use shaletack::etcd;
 use shaletack::interface::Settings;
 use shaletack::nbd;
 use shaletack::net::{boxes, front, host, watch};
@@ -121,6 +122,9 @@
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let host = start(operator.settings.clone(), RandomState::new().build_hasher().finish());
     host.feed(Input::List(operator.boxes.clone()));
+    if let Some(etcd) = operator.etcd.clone() {
+        actix_rt::spawn(etcd::follow(host.clone(), etcd));
+    }
     let listener =
         TcpListener::bind(operator.listen).await.map_err(|e| format!("{}: {e}", operator.listen))?;
     host::log(&format!("NBD on {}: {} exports", operator.listen, operator.exports.len()));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,4 +5,5 @@
 pub mod front;
 pub mod gate;
 pub mod host;
+pub mod lines;
 pub mod watch;
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -1,10 +1,10 @@
 //! The watch of discovery: the list as it changes, followed for as long as the program runs.
 
 use super::host::{log, Host};
+use super::lines::Lines;
 use crate::broker::Input;
 use crate::members;
 use awc::{Client, Connector};
-use futures_util::StreamExt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,7 +12,6 @@
 const SILENT: Duration = Duration::from_millis(6500);
 const FIRST_WAIT: Duration = Duration::from_millis(100);
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
-const LINE_MOST: usize = 4 << 20;
 
 /// Follows the list from a revision on; never ends.
 pub async fn follow(host: Host, agent: SocketAddr, mut revision: u64) {
@@ -30,35 +29,25 @@
 
 async fn watch_once(host: &Host, client: &Client, agent: SocketAddr, revision: &mut u64) -> String {
     let url = format!("http://{agent}/catalog/members?stream=1&index={revision}");
-    let mut response = match tokio::time::timeout(SILENT, client.get(url).send()).await {
+    let response = match tokio::time::timeout(SILENT, client.get(url).send()).await {
         Ok(Ok(response)) if response.status().is_success() => response,
         Ok(Ok(response)) => return format!("answered {}", response.status()),
         Ok(Err(error)) => return format!("could not be asked: {error}"),
         Err(_) => return "no answer".into(),
     };
-    let mut held: Vec<u8> = Vec::new();
+    let mut lines = Lines::new(response);
     loop {
-        match tokio::time::timeout(SILENT, response.next()).await {
-            Err(_) => return "silent".into(),
-            Ok(None) => return "closed".into(),
-            Ok(Some(Err(error))) => return format!("broke: {error}"),
-            Ok(Some(Ok(chunk))) => held.extend_from_slice(&chunk),
-        }
-        while let Some(end) = held.iter().position(|b| *b == b'\n') {
-            let mut line: Vec<u8> = held.drain(..=end).collect();
-            if line.iter().all(u8::is_ascii_whitespace) {
-                continue;
-            }
-            match members::read(&mut line) {
-                Ok(members) => {
-                    *revision = members.revision;
-                    host.feed(Input::List(members));
-                }
-                Err(fault) => return format!("unreadable: {fault}"),
+        let mut line = match lines.next(SILENT).await {
+            Ok(line) if line.iter().all(u8::is_ascii_whitespace) => continue,
+            Ok(line) => line,
+            Err(why) => return why,
+        };
+        match members::read(&mut line) {
+            Ok(members) => {
+                *revision = members.revision;
+                host.feed(Input::List(members));
             }
-        }
-        if held.len() > LINE_MOST {
-            return "a line without end".into();
+            Err(fault) => return format!("unreadable: {fault}"),
         }
     }
 }
--- /dev/null
+++ b/tests/broker.rs
@@ -0,0 +1,125 @@
+//! The core alone, on a clock that the test moves.
+
+use shaletack::broker::*;
+use shaletack::ending::End;
+use shaletack::interface::{Class, Effect as Repeat, ListKind, Plan, Readiness, Settings};
+use shaletack::members::{Member, Members};
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+
+struct Told {
+    broker: Broker,
+    start: Instant,
+}
+
+impl Told {
+    fn new() -> Self {
+        let start = Instant::now();
+        let class = |effect| Class {
+            aim: 100_000_000,
+            deadline: 1_000_000_000,
+            value: 1.0,
+            effect,
+            ..Class::default()
+        };
+        let set = Settings {
+            hosts: 1,
+            classes: vec![class(Repeat::Safe), class(Repeat::Unsafe)],
+            plans: vec![Plan { weight: 1.0, reserve: 5.0, ..Plan::default() }],
+            try_limit: 2,
+            unit_mean: 1.0,
+            units_top: 4.0,
+            cancels: true,
+            ..Settings::default()
+        };
+        let clock = Clock::new(start, Duration::from_secs(1000));
+        Told { broker: Broker::new(set, 1, clock, start), start }
+    }
+
+    fn at(&mut self, after: Duration, input: Input) -> Vec<Effect> {
+        let effects = self.broker.step(self.start + after, input);
+        effects.into_iter().filter(|e| !matches!(e, Effect::Log(_))).collect()
+    }
+
+    fn list(&mut self, readiness: Readiness) {
+        let entries = vec![Member {
+            id: "s-0000000a".into(),
+            address: Some("127.0.0.1:7".parse().unwrap()),
+            zone: String::new(),
+            shard: 0,
+            readiness,
+            up_since: None,
+        }];
+        self.at(MS, Input::List(Members { revision: 1, kind: ListKind::Changes, entries }));
+    }
+}
+
+fn ask(class: u16) -> Ask {
+    Ask {
+        class,
+        volume: 1,
+        hosts: 1.0,
+        key: 1,
+        shard: Some(0),
+        units: 1.0,
+        patience: 1000 * MS,
+        ..Ask::default()
+    }
+}
+
+/// The way back takes time: the answer to a request that a silent box holds leaves before its client does,
+/// and the attempt is given up with it. What the box sends after that is nobody's answer.
+#[test]
+fn a_silent_attempt_is_given_up_before_the_client_is() {
+    let mut told = Told::new();
+    told.list(Readiness::Ready);
+    let sent = told.at(10 * MS, Input::Arrived(1, ask(1)));
+    let Effect::Send { request: 1, number: 0, wait, .. } = sent[0] else { panic!("{sent:?}") };
+    assert_eq!(wait, 990 * MS);
+    assert!(matches!(sent[1], Effect::Wake(at) if at <= told.start + 1000 * MS));
+    let ended = told.at(1000 * MS, Input::Woke);
+    assert_eq!(ended[..2], [Effect::Abort(1, 0), Effect::Answer(1, Answer::Failed)]);
+    let late = Reply { body: "late".into(), ..Reply::none(End::Whole) };
+    assert!(told.at(1001 * MS, Input::Ended(1, 0, late)).is_empty());
+    assert_eq!((told.broker.open(), told.broker.tallies()[1].1.failed), (0, 1));
+}
+
+#[test]
+fn a_write_goes_out_again_only_where_its_end_proves_that_it_never_ran() {
+    for (end, again) in [(End::Unreachable, true), (End::TurnedAway, true), (End::BrokeWriting, false)] {
+        let mut told = Told::new();
+        told.list(Readiness::Ready);
+        told.at(10 * MS, Input::Arrived(1, ask(1)));
+        let mut effects = told.at(20 * MS, Input::Ended(1, 0, Reply::none(end)));
+        (3..40).for_each(|n| effects.extend(told.at(10 * n * MS, Input::Woke)));
+        let sent = effects.iter().filter(|e| matches!(e, Effect::Send { .. })).count();
+        let failed = effects.contains(&Effect::Answer(1, Answer::Failed));
+        assert_eq!((sent, failed), (usize::from(again), !again), "{end:?}: {effects:?}");
+    }
+}
+
+#[test]
+fn nothing_goes_to_a_box_that_drains_and_its_clients_hear_when_to_come_back() {
+    let mut told = Told::new();
+    told.list(Readiness::Ready);
+    assert!(told.broker.is_ready());
+    told.list(Readiness::Draining);
+    let mut effects = told.at(10 * MS, Input::Arrived(1, ask(1)));
+    (2..100).for_each(|n| effects.extend(told.at(10 * n * MS, Input::Woke)));
+    assert!(!effects.iter().any(|e| matches!(e, Effect::Send { .. })), "{effects:?}");
+    let refused = |e: &&Effect| matches!(e, Effect::Answer(1, Answer::Refused(after)) if !after.is_zero());
+    assert_eq!(effects.iter().filter(refused).count(), 1, "{effects:?}");
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing() {
+    let mut told = Told::new();
+    told.list(Readiness::Ready);
+    told.at(10 * MS, Input::Arrived(1, ask(0)));
+    told.at(20 * MS, Input::Left(1));
+    let whole = Reply { body: "x".into(), ..Reply::none(End::Whole) };
+    let effects = told.at(30 * MS, Input::Ended(1, 0, whole));
+    assert!(!effects.iter().any(|e| matches!(e, Effect::Answer(..))), "{effects:?}");
+    assert_eq!((told.broker.open(), told.broker.tallies()[0].1.left), (0, 1));
+}
--- /dev/null
+++ b/tests/net.rs
@@ -0,0 +1,285 @@
+//! The platform's front: stories between HTTP clients, the initiator, boxes and discovery on loopback.
+
+mod common;
+use common::net::*;
+use shaletack::ending::End;
+use shaletack::interface::Ending;
+use shaletack::nbd::codec::{cmd, errno};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+#[test]
+fn a_request_and_its_answer_pass_unchanged() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"\0reading\xff", 0), false))).await;
+        let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+        let mut client = HttpClient::connect(front).await;
+        assert_eq!(client.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").await.0, 200);
+        let body: Vec<u8> = (0..60_000u32).map(|i| i as u8).collect();
+        for _ in 0..2 {
+            let (status, _, got) = client.ask(&platform_request("PUT", "gravacao", 0, 2, &body)).await;
+            assert_eq!((status, got.as_slice()), (200, &b"\0reading\xff"[..]));
+        }
+        assert_eq!(client.ask(&platform_request("GET", "leitura", 0, 2, b"")).await.0, 200);
+        for (number, head, got) in &boxed.seen.borrow()[..2] {
+            assert_eq!((*number, got), (0, &body), "one connection, used again");
+            assert!(head.starts_with("PUT /gravacao/7f3a9c21e0b4d655?a=%20b HTTP/1.1\r\n"), "{head}");
+            assert_eq!(header(head, "x-trace-id").unwrap(), "9b1f03aa5c7e2d41");
+            assert!(header(head, "x-expires-in").unwrap().parse::<f64>().unwrap() <= 1.5);
+        }
+        assert_eq!((host.open(), host.look(|b| b.tallies()[1].1.units)), (0, 4.0));
+        // Nothing that can't be read as a request goes on to a box.
+        for (bad, status) in [
+            (platform_request("PUT", "gravacao", 0, 2, &[0; 65_537]), 413),
+            (platform_request("GET", "nothing", 0, 2, b""), 400),
+            (b"GET /leitura/1 HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(), 400),
+            (b"nonsense\r\n\r\n".to_vec(), 400),
+        ] {
+            assert_eq!(HttpClient::connect(front).await.ask(&bad).await.0, status);
+        }
+        assert_eq!(boxed.seen.borrow().len(), 3);
+    });
+}
+
+/// awc ends a body that breaks off as if it were whole; no client may be served half of what a box has.
+#[test]
+fn half_an_answer_is_never_served_and_a_write_behind_it_is_not_repeated() {
+    story(async {
+        let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n".to_vec();
+        let moved = b"HTTP/1.1 307 Moved\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n".to_vec();
+        for broken in [
+            answer("200 OK", b"reading", 3),
+            chunked,
+            Vec::new(),
+            b"HTTP/1.1 200".to_vec(),
+            answer("500 Error", b"", 0),
+            answer("503 Busy", b"", 0),
+            moved,
+        ] {
+            let text = String::from_utf8_lossy(&broken).into_owned();
+            let boxed = HttpBox::start(move |count, _| {
+                Some(if count == 0 { (broken.clone(), true) } else { (answer("200 OK", b"whole", 0), false) })
+            })
+            .await;
+            let (front, _, _) = http_front(&[(boxed.address, 0)]).await;
+            let mut client = HttpClient::connect(front).await;
+            let (status, _, body) = client.ask(&platform_request("PUT", "gravacao", 0, 2, b"w")).await;
+            assert_eq!((status, body.len(), boxed.seen.borrow().len()), (502, 0, 1), "{text}");
+            let (status, _, body) = client.ask(&platform_request("GET", "leitura", 0, 2, b"")).await;
+            assert_eq!((status, body.as_slice()), (200, &b"whole"[..]), "{text}");
+        }
+    });
+}
+
+#[test]
+fn a_write_that_provably_never_ran_goes_out_again() {
+    story(async {
+        let away = b"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n".to_vec();
+        let boxed = HttpBox::start(move |count, _| {
+            Some((if count == 0 { away.clone() } else { answer("200 OK", b"ok", 0) }, false))
+        })
+        .await;
+        let (front, _, _) = http_front(&[(boxed.address, 0)]).await;
+        let (status, ..) =
+            HttpClient::connect(front).await.ask(&platform_request("PUT", "gravacao", 0, 2, b"w")).await;
+        assert_eq!((status, boxed.seen.borrow().len()), (200, 2));
+    });
+}
+
+#[test]
+fn every_end_but_a_proof_says_that_it_may_have_run() {
+    use End::*;
+    let all = [
+        Whole,
+        BoxError,
+        TurnedAway,
+        Strange,
+        Unreachable,
+        ConnectTimedOut,
+        HandshakeFailed,
+        BrokeWriting,
+        BrokeWaiting,
+        HalfAnswer,
+        UnboundedAnswer,
+        Silent,
+        CalledOff,
+        NoAddress,
+    ];
+    let never = |e: &End| matches!(e.outcome(), Ending::TurnedAway | Ending::NoConnection | Ending::Void);
+    let proofs: Vec<End> = all.into_iter().filter(never).collect();
+    assert_eq!(proofs, [TurnedAway, Unreachable, ConnectTimedOut, HandshakeFailed, NoAddress]);
+}
+
+#[test]
+fn a_silent_boxs_request_is_answered_in_time_and_its_connection_closed() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| None).await;
+        let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+        for (method, class, expected) in [("PUT", "gravacao", 502), ("GET", "leitura", 503)] {
+            let mut client = HttpClient::connect(front).await;
+            let (status, head, _) = client.ask(&platform_request(method, class, 0, 2, b"")).await;
+            assert_eq!((status, header(&head, "retry-after").is_some()), (expected, expected == 503));
+            boxed.closed.notified().await;
+        }
+        assert_eq!((boxed.seen.borrow().len(), host.open()), (2, 0));
+    });
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_request() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| None).await;
+        let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+        let mut client = HttpClient::connect(front).await;
+        client.0.write_all(&platform_request("PUT", "gravacao", 0, 2, b"w")).await.unwrap();
+        boxed.came.notified().await;
+        assert_eq!(host.open(), 1);
+        drop(client);
+        while host.open() > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(host.look(|b| b.tallies()[1].1.left), 1);
+    });
+}
+
+/// A box may close a connection that waits; a request written to it would end as a reset.
+#[test]
+fn a_connection_that_the_box_closed_is_not_used_again() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"ok", 0), true))).await;
+        let (front, _, _) = http_front(&[(boxed.address, 0)]).await;
+        let mut client = HttpClient::connect(front).await;
+        for _ in 0..5 {
+            assert_eq!(client.ask(&platform_request("PUT", "gravacao", 0, 1, b"w")).await.0, 200);
+        }
+        let numbers: Vec<usize> = boxed.seen.borrow().iter().map(|s| s.0).collect();
+        assert_eq!(numbers, [0, 1, 2, 3, 4]);
+    });
+}
+
+#[test]
+fn a_stop_finishes_what_was_taken_and_closes_idle_connections() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| None).await;
+        let (front, stop, host) = http_front(&[(boxed.address, 0)]).await;
+        let (mut idle, mut busy) = (HttpClient::connect(front).await, HttpClient::connect(front).await);
+        assert_eq!(idle.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").await.0, 200);
+        stop.notify_one();
+        while !host.is_stopping() {
+            tokio::task::yield_now().await;
+        }
+        let mut coming = HttpClient::connect(front).await;
+        assert_eq!(coming.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").await.0, 503, "still accepts");
+        assert_eq!(
+            busy.ask(&platform_request("PUT", "gravacao", 0, 2, b"w")).await.0,
+            502,
+            "taken, answered"
+        );
+        assert_eq!(idle.0.read(&mut [0]).await.unwrap(), 0);
+        while tokio::net::TcpStream::connect(front).await.is_ok() {}
+    });
+}
+
+#[test]
+fn the_list_is_followed_from_its_last_revision_after_a_break() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"ok", 0), false))).await;
+        let place = boxed.address;
+        let agent = HttpBox::start(move |count, _| {
+            let line = match count {
+                0 => format!(r#"{{"revision":43,"complete":false,"members":[{{"id":"s-0000000a","host_port":"{place}","cell":0,"phase":"up","up_since_ms":0}}]}}"#),
+                _ => r#"{"revision":44,"complete":false,"members":[{"id":"s-0000000a","phase":"removed"}]}"#.into(),
+            };
+            let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+            Some((format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n{chunk}").into_bytes(), count == 0))
+        })
+        .await;
+        let (front, _, host) = http_front(&[]).await;
+        let mut client = HttpClient::connect(front).await;
+        let health = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
+        assert_eq!(client.ask(health).await.0, 503, "nothing to send to");
+        actix_rt::spawn(shaletack::net::watch::follow(host.clone(), agent.address, 41));
+        while !host.is_ready() {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(client.ask(&platform_request("GET", "leitura", 0, 1, b"")).await.0, 200);
+        while host.is_ready() {
+            tokio::task::yield_now().await;
+        }
+        let asked: Vec<String> =
+            agent.seen.borrow().iter().map(|s| s.1.lines().next().unwrap().into()).collect();
+        assert!(asked[0].contains("stream=1&index=41") && asked[1].contains("index=43"), "{asked:?}");
+    });
+}
+
+/// Both fronts over boxes that serve, fail, stay silent or are gone: the same requests bring the same
+/// figures of service by class.
+#[test]
+fn both_fronts_bring_the_same_figures() {
+    story(async {
+        let scripts = [Script::Serve, Script::Error, Script::Silent];
+        let (closed, gone) = loopback().await;
+        drop(closed);
+        let (mut over_http, mut over_nbd) = (vec![(gone, 3)], vec![(gone, 3)]);
+        for (shard, script) in scripts.into_iter().enumerate() {
+            let boxed = HttpBox::start(move |_, _| match script {
+                Script::Serve => Some((answer("200 OK", b"ok", 0), false)),
+                Script::Error => Some((answer("500 Error", b"", 0), false)),
+                _ => None,
+            });
+            over_http.push((boxed.await.address, shard as u16));
+            over_nbd.push((NbdBox::start(script, 1 << 18).await.address, shard as u16));
+        }
+        let (http, _, http_host) = http_front(&over_http).await;
+        let mut set = operator(&over_nbd);
+        let extent = |shard: u16| shaletack::operator::Extent {
+            from: u64::from(shard) << 16,
+            length: 1 << 16,
+            shard,
+            at: 0,
+        };
+        (set.exports[0].size, set.exports[0].extents) = (1 << 18, (0..4).map(extent).collect());
+        let (nbd, _, nbd_host) = nbd_front(set).await;
+        let (mut web, mut disk) = (HttpClient::connect(http).await, NbdClient::go(nbd).await);
+        let mut cookie = 0;
+        // Shard, size, and whether it is written; the figure is what each brings in HTTP and in NBD.
+        let work = [
+            (0, 4096, false),
+            (0, 8192, true),
+            (1, 4096, true),
+            (1, 4096, false),
+            (0, 24_576, false),
+            (2, 4096, true),
+            (2, 512, false),
+            (3, 4096, true),
+            (3, 20_000, false),
+            (0, 512, true),
+        ];
+        for (shard, size, write) in work {
+            cookie += 1;
+            let class = if write {
+                "gravacao"
+            } else if size > 16_384 {
+                "exportacao"
+            } else {
+                "leitura"
+            };
+            let method = if write { "PUT" } else { "GET" };
+            let units = u32::div_ceil(size, 4096);
+            let (status, ..) = web.ask(&platform_request(method, class, shard, units, b"")).await;
+            let data = vec![1; if write { size as usize } else { 0 }];
+            let command = if write { cmd::WRITE } else { cmd::READ };
+            disk.send(command, 0, cookie, u64::from(shard) << 16, size, &data).await;
+            let error = match disk.reply().await.error {
+                0 => 200,
+                errno::NOMEM => 503,
+                errno::IO => 502,
+                other => other as u16,
+            };
+            assert_eq!(status, error, "shard {shard}, {size} bytes, written: {write}");
+        }
+        let figures = |host: &shaletack::net::host::Host| host.look(|b| b.tallies().to_vec());
+        let (a, b) = (figures(&http_host), figures(&nbd_host));
+        assert_eq!(a, b);
+        assert!(a.iter().map(|t| t.1.served).sum::<u64>() == 4 && a[1].1.failed == 2, "{a:?}");
+    });
+}
