--- a/src/choice.rs
+++ b/src/choice.rs
@@ -93,7 +93,7 @@
             Event::Request(request) => self.on_request(request),
             Event::Streaming(id) => self.on_streaming(*id),
             Event::Attempt(attempt) => self.on_attempt(attempt),
-            Event::Left(id) => self.close(*id),
+            Event::Left(id) => self.on_left(*id),
             Event::Timer => {
                 // A host's clock may be coarser than ours: a timer a little early is still the one set.
                 if self.armed.is_some_and(|at| at <= self.now + self.set.step.max(SECOND / 1000)) {
@@ -224,6 +224,15 @@
         }
     }
 
+    /// What is out for a client that left is work for nobody.
+    fn on_left(&mut self, id: RequestId) {
+        if let Some(job) = self.jobs.get(&id).filter(|j| self.set.cancels && !j.streaming) {
+            let out = job.attempts.iter().enumerate().filter(|(_, a)| a.2);
+            self.acts.extend(out.map(|(n, _)| Action::Cancel { request: id, number: n as u8 }));
+        }
+        self.close(id);
+    }
+
     fn queue(&mut self, id: RequestId) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.queued || job.over {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -40,7 +40,7 @@
     let closing = Closing::default();
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let longest = Duration::from_nanos(longest);
-    let gate = Gate { listener, host: host.clone(), most, longest, closing: closing.clone() };
+    let gate = Gate { listener, host: host.clone(), most, sheds: true, longest, closing: closing.clone() };
     let settings = Rc::new(settings);
     let handler = fn_service(move |request: Request| {
         let (host, settings, client) = (host.clone(), settings.clone(), client.clone());
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Those that are open now are to close; later ones stay.
+    fn shed(&self) {
+        self.0 .1.notify_waiters();
+    }
+
     fn tell(&self) {
         self.0 .0.set(true);
         self.0 .1.notify_waiters();
@@ -43,6 +48,8 @@
     pub host: Host,
     /// The most connections at a time; more wait in the backlog.
     pub most: usize,
+    /// At that many, those no request is on are closed: their clients keep more than they use.
+    pub sheds: bool,
     /// The longest that any request may be open.
     pub longest: Duration,
     /// Tells this front's connections to close.
@@ -70,7 +77,7 @@
         stop: impl Future<Output = ()>,
         serve: impl Fn(TcpStream) -> F,
     ) {
-        let Gate { listener, host, most, longest, closing } = self;
+        let Gate { listener, host, most, sheds, longest, closing } = self;
         let count = Rc::new(Count { open: Cell::new(0), fell: Notify::new() });
         let start = |stream: TcpStream| {
             // Answers are small; waiting to fill a segment would make them late.
@@ -87,6 +94,10 @@
         let mut stopped_at: Option<Instant> = None;
         loop {
             let accepted = async {
+                if sheds && count.open.get() >= most {
+                    log(&format!("{most} connections are open: idle ones are closed"));
+                    closing.shed();
+                }
                 count.below(most).await;
                 listener.accept().await
             };
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -8,8 +8,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Discovery sends at least an empty line every 2 s; several missed are a broken watch.
-const SILENT: Duration = Duration::from_millis(6500);
+/// Discovery sends at least an empty line every 2 s; several missed are a broken watch. What it has to tell
+/// counts as told 6 s after, so a new watch has to be up by then.
+const SILENT: Duration = Duration::from_secs(5);
 const FIRST_WAIT: Duration = Duration::from_millis(100);
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -117,7 +117,8 @@
     let mut told = Told::new();
     told.list(Readiness::Ready);
     told.at(10 * MS, Input::Arrived(1, ask(0)));
-    told.at(20 * MS, Input::Left(1));
+    let left = told.at(20 * MS, Input::Left(1));
+    assert!(left.contains(&Effect::Abort(1, 0)), "its attempt is given up: {left:?}");
     let whole = Reply { body: "x".into(), ..Reply::none(End::Whole) };
     let effects = told.at(30 * MS, Input::Ended(1, 0, whole));
     assert!(!effects.iter().any(|e| matches!(e, Effect::Answer(..))), "{effects:?}");
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -179,6 +179,23 @@
     });
 }
 
+/// Clients that open connections and leave them must not keep others out.
+#[test]
+fn at_the_most_connections_idle_ones_make_room() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"ok", 0), false))).await;
+        let (front, _, _) = http_front(&[(boxed.address, 0)]).await;
+        let mut clients = Vec::new();
+        for _ in 0..20 {
+            clients.push(HttpClient::connect(front).await);
+            let status =
+                clients.last_mut().unwrap().ask(&platform_request("GET", "leitura", 0, 1, b"")).await.0;
+            assert_eq!(status, 200);
+        }
+        assert_eq!(clients[0].0.read(&mut [0]).await.unwrap(), 0, "the oldest was idle");
+    });
+}
+
 #[test]
 fn the_list_is_followed_from_its_last_revision_after_a_break() {
     story(async {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -371,6 +371,14 @@
     assert!(waits.iter().all(|w| (180 * MS..=900 * MS).contains(w)), "{waits:?}");
 }
 
+#[test]
+fn what_is_out_for_a_client_that_left_is_called_off() {
+    let mut host = Host::new(settings());
+    host.at(T0, &[Event::Request(request(1))]);
+    let acts = host.at(T0 + MS, &[Event::Left(1)]);
+    assert!(acts.contains(&Action::Cancel { request: 1, number: 0 }), "{acts:?}");
+}
+
 /// Found on the first calm day on sockets: what no place was found for was refused at the end of its time,
 /// when its client could do nothing more. It is told before half of it; what was tried is waited for.
 #[test]
