--- a/src/broker.rs
+++ b/src/broker.rs
@@ -138,32 +138,28 @@
         Clock { anchor, unix }
     }
 
-    fn nanos(&self, at: Instant) -> Nanos {
-        nanos(self.unix + at.saturating_duration_since(self.anchor))
+    fn time(&self, at: Instant) -> Duration {
+        self.unix + at.saturating_duration_since(self.anchor)
     }
 
-    fn instant(&self, at: Nanos) -> Instant {
-        self.anchor + Duration::from_nanos(at).saturating_sub(self.unix)
+    fn instant(&self, at: Duration) -> Instant {
+        self.anchor + at.saturating_sub(self.unix)
     }
 }
 
-fn nanos(span: Duration) -> Nanos {
-    u64::try_from(span.as_nanos()).unwrap_or(Nanos::MAX)
-}
-
 #[derive(Debug)]
 struct Open {
     class: u16,
     units: f64,
-    due: Nanos,
+    due: Duration,
     attempts: u8,
 }
 
 #[derive(Debug)]
 struct Flight {
     node: NodeId,
-    sent_at: Nanos,
-    until: Nanos,
+    sent_at: Duration,
+    until: Duration,
 }
 
 /// The state of one initiator.
@@ -176,16 +172,16 @@
     addresses: BTreeMap<NodeId, SocketAddr>,
     open: BTreeMap<RequestId, Open>,
     flights: BTreeMap<(RequestId, u8), Flight>,
-    wake: Option<Nanos>,
+    wake: Option<Duration>,
     tallies: Vec<(String, Tally)>,
-    told_at: Nanos,
+    told_at: Duration,
     ends: BTreeMap<String, u64>,
 }
 
 impl Broker {
     /// An initiator that has just started; the list it last had comes as an input.
     pub fn new(set: Settings, seed: u64, clock: Clock, now: Instant) -> Self {
-        let at = clock.nanos(now);
+        let at = clock.time(now);
         Broker {
             zones: set.zones.clone(),
             tallies: set.classes.iter().map(|c| (c.name.clone(), Tally::default())).collect(),
@@ -218,7 +214,7 @@
 
     /// The one way in: takes what happened, and asks for what is to be done.
     pub fn step(&mut self, now: Instant, input: Input) -> Vec<Effect> {
-        let at = self.clock.nanos(now);
+        let at = self.clock.time(now);
         let (mut effects, mut events) = (Vec::new(), Vec::new());
         match input {
             Input::Arrived(id, ask) => events.extend(self.arrived(at, id, ask)),
@@ -251,11 +247,11 @@
         effects
     }
 
-    fn arrived(&mut self, at: Nanos, id: RequestId, ask: Ask) -> Option<Event> {
+    fn arrived(&mut self, at: Duration, id: RequestId, ask: Ask) -> Option<Event> {
         if self.open.contains_key(&id) {
             return None;
         }
-        let patience = nanos(ask.patience.saturating_sub(WAY_BACK));
+        let patience = ask.patience.saturating_sub(WAY_BACK);
         let due = at.saturating_add(patience);
         self.open.insert(id, Open { class: ask.class, units: ask.units, due, attempts: 0 });
         self.count(ask.class, |t| t.taken += 1);
@@ -275,7 +271,7 @@
 
     fn ended(
         &mut self,
-        at: Nanos,
+        at: Duration,
         id: RequestId,
         number: u8,
         reply: Reply,
@@ -298,7 +294,7 @@
         Some(Event::Attempt(attempt))
     }
 
-    fn outcome(&self, at: Nanos, id: RequestId, number: u8, flight: &Flight, ending: Ending) -> Attempt {
+    fn outcome(&self, at: Duration, id: RequestId, number: u8, flight: &Flight, ending: Ending) -> Attempt {
         Attempt {
             request: id,
             number,
@@ -313,7 +309,7 @@
     }
 
     /// Gives up attempts whose time has come.
-    fn time_out(&mut self, at: Nanos, events: &mut Vec<Event>, effects: &mut Vec<Effect>) {
+    fn time_out(&mut self, at: Duration, events: &mut Vec<Event>, effects: &mut Vec<Effect>) {
         let over: Vec<_> = self.flights.iter().filter(|(_, f)| f.until <= at).map(|(k, _)| *k).collect();
         for (id, number) in over {
             events.extend(self.give_up(at, id, number, End::Silent, effects));
@@ -322,7 +318,7 @@
 
     fn give_up(
         &mut self,
-        at: Nanos,
+        at: Duration,
         id: RequestId,
         number: u8,
         end: End,
@@ -355,27 +351,27 @@
                 zone: self.zones.iter().position(|z| *z == member.zone).unwrap_or(0) as u16,
                 shard: member.shard,
                 readiness: member.readiness,
-                born: member.up_since.map_or(0, nanos),
+                born: member.up_since.unwrap_or_default(),
             });
         }
         Event::List { kind: members.kind, lines }
     }
 
     /// Carries out one action; what it brings back at once is an event for the next round.
-    fn act(&mut self, at: Nanos, action: Action, effects: &mut Vec<Effect>) -> Option<Event> {
+    fn act(&mut self, at: Duration, action: Action, effects: &mut Vec<Effect>) -> Option<Event> {
         match action {
             Action::Send { request, node, timeout } => {
                 let open = self.open.get_mut(&request)?;
                 let (number, due) = (open.attempts, open.due);
                 open.attempts = open.attempts.saturating_add(1);
-                let until = if timeout > 0 { due.min(at.saturating_add(timeout)) } else { due };
+                let until = if !timeout.is_zero() { due.min(at.saturating_add(timeout)) } else { due };
                 let flight = Flight { node, sent_at: at, until };
                 let Some(&to) = self.addresses.get(&node) else {
                     let void = self.outcome(at, request, number, &flight, End::NoAddress.outcome());
                     return Some(Event::Attempt(void));
                 };
                 self.flights.insert((request, number), flight);
-                let wait = Duration::from_nanos(until.saturating_sub(at));
+                let wait = until.saturating_sub(at);
                 effects.push(Effect::Send { request, number, to, wait });
             }
             Action::Cancel { request, number } => {
@@ -384,8 +380,7 @@
             Action::Refuse { request, retry_after } => {
                 let open = self.open.remove(&request)?;
                 self.count(open.class, |t| t.refused += 1);
-                let after = Duration::from_nanos(retry_after);
-                effects.push(Effect::Answer(request, Answer::Refused(after)));
+                effects.push(Effect::Answer(request, Answer::Refused(retry_after)));
             }
             Action::Fail { request } => {
                 let open = self.open.remove(&request)?;
@@ -409,8 +404,8 @@
     }
 
     /// What became of requests and attempts since the start, now and then.
-    fn tell(&mut self, at: Nanos, effects: &mut Vec<Effect>) {
-        if at < self.told_at + nanos(TALLY_EVERY) {
+    fn tell(&mut self, at: Duration, effects: &mut Vec<Effect>) {
+        if at < self.told_at + TALLY_EVERY {
             return;
         }
         self.told_at = at;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,22 +4,26 @@
 //! must be, and one dispatch pass offers each node's free places to the held requests in tag order.
 
 use crate::interface::*;
-use crate::measure::{backoff, scramble, seconds, stride, Bucket, Part, Rate, Recent};
+use crate::measure::{backoff, nanos, scramble, seconds, span_of, stride, Bucket, Part, Rate, Recent};
 use crate::memo::Memo;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
-
-const SECOND: Nanos = 1_000_000_000;
-const LEASE: Nanos = 2 * SECOND; // Over how long demand and service are smoothed: the design's lease of 2 s.
-const IDLE: Nanos = 30 * LEASE; // Volumes that asked for nothing for so long leave memory.
-const STALE_LEASES: u64 = 2; // News of a volume older than this says nothing: the static part holds.
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+const NANO: Duration = Duration::from_nanos(1);
+const FOREVER: Duration = Duration::from_nanos(u64::MAX);
+const LEASE: Duration = SECOND.saturating_mul(2); // Demand and service are smoothed over the design's lease.
+const IDLE: Duration = LEASE.saturating_mul(30); // Volumes that asked for nothing for so long leave memory.
+const STALE_LEASES: u32 = 2; // News of a volume older than this says nothing: the static part holds.
 const WINDOW_TOP: f64 = 2.0; // A node starts with so many places; more only move the queue to the node.
 const WINDOW_AIM: f64 = 0.2; // It halves once round trips take this part of the shortest aim.
 const REST_AIM: f64 = 0.5; // Hosts rest between sends once round trips take this part of the shortest aim,
 const REST_POWER: f64 = 2.0; // by that power of how often they do,
 const REST_TOP: f64 = 2.0; // at most so many leases, as far as the round trip is fresh.
 const POOLED: f64 = 0.5; // Part of a limit that waits at the volume's home, where hosts may talk.
-const BACKOFF: (Nanos, Nanos) = (SECOND / 10, 2 * SECOND); // The first wait after a failure, the longest.
+                         // The first wait after a failure, the longest.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 const REPEAT_COST: f64 = 0.5; // What a request costs a node that has just taken the same key.
 const RUN_ROOM: f64 = 3.0; // A run of one key may go on past the window by so many,
 const RUN_LOOK: usize = 64; // looked for among so many held.
@@ -34,46 +38,46 @@
     seed: u64,
     drawn: u64,
     stride: u64,
-    now: Nanos,
-    started: Nanos,
+    now: Duration,
+    started: Duration,
     jobs: BTreeMap<RequestId, Job>,
     dues: Dues, // By when each request is answered at the latest.
     volumes: BTreeMap<VolumeId, Volume>,
     pools: BTreeMap<VolumeId, Bucket>, // Of the volumes whose home this host is.
     queues: Queues,
     lines: BTreeMap<u64, Line>,
-    resting: BTreeSet<(Nanos, u64)>,
+    resting: BTreeSet<(Duration, u64)>,
     nodes: BTreeMap<NodeId, Node>,
     holders: BTreeMap<u16, Vec<NodeId>>, // The ready nodes of each shard.
     strain: Part,                        // Of the requests that ended, those late or unserved.
-    asked: BTreeMap<u16, Nanos>,         // When each shard was last asked for.
-    lifted_at: Nanos,
+    asked: BTreeMap<u16, Duration>,      // When each shard was last asked for.
+    lifted_at: Duration,
     lost: Rate,    // Missed attempts that never came, and those that did after all.
     taken: Recent, // Requests taken and further attempts, for the budget.
     further: Recent,
     list_calls_failed: u32,
-    ask_at: Option<Nanos>,
-    armed: Option<Nanos>,
-    next: Nanos,
+    ask_at: Option<Duration>,
+    armed: Option<Duration>,
+    next: Duration,
     acts: Vec<Action>,
 }
 
 impl Scheduler {
     /// A host that has just started and knows nothing of an earlier life.
-    pub fn new(set: Settings, seed: u64, now: Nanos) -> Self {
+    pub fn new(set: Settings, seed: u64, now: Duration) -> Self {
         let stride = stride(u64::from(set.hosts.max(1)));
         let mut host =
             Scheduler { set, seed, now, started: now, lifted_at: now, stride, ..Scheduler::default() };
         // All hosts may start at once: the list's service is not asked by all in the same instant.
-        let span = (u64::from(host.set.hosts) * SECOND / 50).min(host.set.rules.ask_within / 4);
-        host.ask_at = host.set.list_on_request.then_some(now + host.random(span));
+        let span = (host.set.hosts * SECOND / 50).min(host.set.rules.ask_within / 4);
+        host.ask_at = host.set.list_on_request.then_some(now + host.random_span(span));
         host
     }
 
     /// Takes what happened up to `now` and adds what is to be done about it to `actions`.
-    pub fn step(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
+    pub fn step(&mut self, now: Duration, events: &[Event], actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        self.next = Nanos::MAX;
+        self.next = FOREVER;
         for event in events {
             self.absorb(event);
         }
@@ -109,7 +113,7 @@
         if kind == ListKind::Failed {
             self.list_calls_failed += 1;
             let wait = backoff(5 * BACKOFF.0, BACKOFF.1, self.list_calls_failed);
-            self.ask_at = Some(self.now + wait / 2 + self.random(wait));
+            self.ask_at = Some(self.now + wait / 2 + self.random_span(wait));
             return;
         }
         self.list_calls_failed = 0;
@@ -144,13 +148,13 @@
         node.shard = line.shard;
         node.ready = line.readiness == Readiness::Ready;
         node.gone = line.readiness == Readiness::Gone;
-        if line.born > 0 && node.listed.is_none_or(|b| line.born > b) {
+        if !line.born.is_zero() && node.listed.is_none_or(|b| line.born > b) {
             node.born = Some(line.born);
             node.listed = node.born;
             node.broke_at = None;
             node.fails = 0;
             node.relays = 0;
-            node.hold_until = 0;
+            node.hold_until = Duration::ZERO;
         }
     }
 
@@ -253,7 +257,7 @@
         let memory = job.first_run().filter(|_| class.effect == Effect::Keyed && job.out == 0);
         let until = memory.map_or(job.due, |(_, at)| job.due.min(at.saturating_add(class.memory)));
         // A client told late that nothing was tried for it has lost that time.
-        let unsent = job.came + ((job.due - job.came) as f64 * UNSENT) as Nanos;
+        let unsent = job.came + span_of(nanos(job.due - job.came) * UNSENT);
         let until = if job.attempts.is_empty() { until.min(unsent) } else { until };
         let held_by = self.holders_of(job.req.shard);
         let stuck = job.out == 0 && !held_by.is_empty() && !held_by.iter().any(|n| self.group_holds(job, *n));
@@ -276,7 +280,7 @@
         let class = self.set.class(job.req.class);
         let everywhere = class.effect == Effect::Keyed && class.group == Group::All;
         let refuse = class.effect == Effect::Safe || everywhere || job.out == 0 && job.may_have_run.is_none();
-        let waited = self.now.saturating_sub(job.came) + self.trip(job.req.shard) as Nanos;
+        let waited = self.now.saturating_sub(job.came) + span_of(self.trip(job.req.shard));
         let retry_after = self.come_back(waited);
         let refused = Action::Refuse { request: id, retry_after };
         self.acts.push(if refuse { refused } else { Action::Fail { request: id } });
@@ -285,9 +289,9 @@
 
     /// When a refused client should come again: after about as long as this one waited for nothing and one
     /// round trip, spread so that those refused together do not return together.
-    fn come_back(&mut self, wait: Nanos) -> Nanos {
-        let top = if self.set.retry_after_top > 0 { self.set.retry_after_top } else { Nanos::MAX };
-        (wait / 2 + self.random(wait)).clamp(1, top)
+    fn come_back(&mut self, wait: Duration) -> Duration {
+        let top = Some(self.set.retry_after_top).filter(|top| !top.is_zero()).unwrap_or(FOREVER);
+        (wait / 2 + self.random_span(wait)).clamp(NANO, top)
     }
 
     /// The shortest round trip, as believed now, to a node that may serve a shard; 0 where none is known.
@@ -353,7 +357,7 @@
     /// answered at once: it would be work for nobody, and its client should know.
     fn end_hopeless(&mut self) {
         for shelf in self.dues.shelves() {
-            let half = if shelf.out { 0 } else { (self.trip(shelf.shard) * 0.5) as Nanos };
+            let half = span_of(if shelf.out { 0.0 } else { self.trip(shelf.shard) * 0.5 });
             while let Some((until, id)) = self.dues.first(shelf) {
                 if until > self.now + half {
                     self.wake_by(until - half);
@@ -435,12 +439,12 @@
     }
 
     /// A node serves in turn of arrival: attempts sent before one that is now answered were overtaken.
-    fn count_overtaken(&mut self, id: NodeId, a: &Attempt, sent: Nanos) {
+    fn count_overtaken(&mut self, id: NodeId, a: &Attempt, sent: Duration) {
         let Some(node) = self.nodes.get_mut(&id).filter(|_| a.ending == Ending::Served) else { return };
         node.quiet = 0;
         // Answered before one that was missed: the node is not jammed, that one was lost or is slow.
         if node.out.iter().any(|o| o.missed && o.sent_at < sent) {
-            node.lag = a.took as f64;
+            node.lag = nanos(a.took);
         }
         node.out.iter_mut().filter(|o| o.sent_at < sent).for_each(|o| o.overtaken += 1);
     }
@@ -450,18 +454,18 @@
     /// the longer the next is waited for.
     fn notice_missed(&mut self) {
         let now = self.now;
-        let mut next = Nanos::MAX;
+        let mut next = FOREVER;
         for node in self.nodes.values_mut().filter(|n| !n.out.is_empty()) {
             let trip = node.lag.max(node.service).max(1e6);
             for out in node.out.iter_mut().filter(|o| !o.missed) {
                 let overtaken = out.overtaken >= OVERTAKEN;
                 let lags = if overtaken { MISSED_LAGS.0 } else { MISSED_LAGS.1 * f64::from(1 << node.quiet) };
-                let at = out.sent_at.saturating_add((lags * trip) as Nanos);
+                let at = out.sent_at.saturating_add(span_of(lags * trip));
                 out.missed = at <= now;
                 if out.missed {
                     node.quiet = (node.quiet + u32::from(!overtaken)).min(8);
                     // No answer is news as well: the round trip is at least this long by now.
-                    let late = (now - out.sent_at) as f64;
+                    let late = nanos(now - out.sent_at);
                     if !overtaken && self.lost.get(now, LEASE) <= 0.05 && late > node.lag {
                         (node.lag, node.seen_at) = (late, now);
                     }
@@ -487,7 +491,7 @@
         }
         match a.ending {
             Ending::Served => {
-                let lag = a.took as f64;
+                let lag = nanos(a.took);
                 let news = 1.0 - (-seconds(now - node.seen_at) / seconds(LEASE)).exp();
                 node.lag += if node.lag > 0.0 { news.max(0.2) * (lag - node.lag) } else { lag };
                 (node.seen_at, node.fails, node.unheard) = (now, 0, 0);
@@ -503,21 +507,22 @@
                     node.window = (node.window + 1.0 / node.window).min(WINDOW_TOP);
                 }
             }
-            Ending::Cancelled if a.took as f64 > node.lag => (node.lag, node.seen_at) = (a.took as f64, now),
+            Ending::Cancelled if nanos(a.took) > node.lag => (node.lag, node.seen_at) = (nanos(a.took), now),
             Ending::Error | Ending::Cancelled | Ending::Void => {}
             Ending::TimedOut => {
-                node.unheard = (node.unheard + u32::from(a.took as f64 > aim)).min(8);
+                node.unheard = (node.unheard + u32::from(nanos(a.took) > aim)).min(8);
                 node.shrink(now);
             }
             Ending::TurnedAway => {
                 node.shrink(now);
-                node.hold_until = now + node.service.max(1e7) as Nanos;
+                node.hold_until = now + span_of(node.service.max(1e7));
             }
             Ending::Broken | Ending::NoConnection => {
                 // A restart the list has not told of yet: send little, and ramp as after a start.
                 node.shrink(now);
                 let wait = backoff(BACKOFF.0, BACKOFF.1, node.fails);
-                node.hold_until = if a.ending == Ending::Broken && node.fails == 0 { 0 } else { now + wait };
+                let first = a.ending == Ending::Broken && node.fails == 0;
+                node.hold_until = if first { Duration::ZERO } else { now + wait };
                 let broken = a.ending == Ending::Broken && (node.fails == 0 || node.broke_at.is_some());
                 node.broke_at = broken.then_some(now);
                 node.fails += 1;
@@ -602,12 +607,12 @@
     /// where nodes go on with what was called off: hence the wait.
     fn recall_late(&mut self, id: NodeId) {
         let Some(node) = self.nodes.get(&id) else { return };
-        let reach = self.now + (node.trip(self.now) * 0.5) as Nanos;
+        let reach = self.now + span_of(node.trip(self.now) * 0.5);
         let waits = |q: &Queue| q.range((reach, 0)..).next().is_some();
         if !self.queues.get(&Some(node.shard)).is_some_and(|queues| queues.values().any(waits)) {
             return;
         }
-        let gone = self.now.saturating_sub(self.set.shortest_aim() as Nanos);
+        let gone = self.now.saturating_sub(span_of(self.set.shortest_aim()));
         let late = |o: &&Out| self.jobs.get(&o.job).is_some_and(|j| !j.over && j.aim_at <= gone);
         let Some(out) = node.out.iter().filter(|o| !o.missed).find(late).cloned() else { return };
         self.acts.push(Action::Cancel { request: out.job, number: out.number });
@@ -621,7 +626,7 @@
         let idle = node.held() == 0.0;
         // New objects can go elsewhere than to a cold node.
         let shards = [Some(node.shard), None].into_iter().take(if room.is_finite() { 1 } else { 2 });
-        let reach = self.now + (node.trip(self.now) * 0.5) as Nanos;
+        let reach = self.now + span_of(node.trip(self.now) * 0.5);
         let mut heads: Vec<(RequestId, bool)> = Vec::new();
         let fits = |j: &u64| self.jobs.get(j).is_some_and(|j| j.req.units <= room);
         for shard in shards {
@@ -636,7 +641,7 @@
             for queue in queues.values() {
                 let first = |from| queue.range((from, 0)..).take(RUN_LOOK).map(|e| e.1).find(fits);
                 let live = first(reach).map(|j| (j, false));
-                heads.extend(live.or_else(|| first(0).filter(|_| idle).map(|j| (j, true))));
+                heads.extend(live.or_else(|| first(Duration::ZERO).filter(|_| idle).map(|j| (j, true))));
             }
         }
         let ranked = heads.into_iter().filter_map(|(job, late)| Some((self.rank(job, late, id, run)?, job)));
@@ -679,18 +684,18 @@
 
     /// Many hosts with one place each still crowd a node: each waits between two sends, the longer the
     /// longer its last round trips were, and shorter for more weight.
-    fn rested_at(&self, id: NodeId, weight: f64, ease: f64) -> Nanos {
-        let Some(node) = self.nodes.get(&id) else { return 0 };
+    fn rested_at(&self, id: NodeId, weight: f64, ease: f64) -> Duration {
+        let Some(node) = self.nodes.get(&id) else { return Duration::ZERO };
         let full = (REST_AIM * self.set.shortest_aim() * ease).max(1e6);
         // Time-outs tell of no room: trials get rarer, to a core's work of all. Hurts where sends are lost.
-        let core = (f64::from(self.set.hosts) * node.service).max(LEASE as f64);
-        let lease = (LEASE as f64 * f64::from(1 << node.unheard)).min(core);
-        let age = self.now.saturating_sub(node.seen_at) as f64 / lease;
+        let core = (f64::from(self.set.hosts) * node.service).max(nanos(LEASE));
+        let lease = (nanos(LEASE) * f64::from(1 << node.unheard)).min(core);
+        let age = nanos(self.now.saturating_sub(node.seen_at)) / lease;
         let trip = full + (node.lag - full).max(0.0) * (-age).exp();
         let mean = self.set.mean_weight();
         let crowd = f64::from(self.set.hosts.max(1) - 1) / self.nodes.len().max(1) as f64;
         let rest = crowd * trip * ((trip / full).powf(REST_POWER) - 1.0) * mean / weight.max(1e-6);
-        let wake = node.sent_at + rest.min(REST_TOP * lease) as Nanos;
+        let wake = node.sent_at + span_of(rest.min(REST_TOP * lease));
         wake.min(self.now + SECOND / 4) // It fades on meanwhile.
     }
 
@@ -725,7 +730,7 @@
             return true;
         }
         let rate = volume.plan.limit * (1.0 - volume.pooled) / volume.hosts;
-        let wait = (missing / rate * 1e9).clamp(1e6, 1e9) as Nanos;
+        let wait = span_of((missing / rate * 1e9).clamp(1e6, 1e9));
         self.wake_by(now + wait);
         self.ask_home(id);
         false
@@ -737,7 +742,7 @@
         let number = self.random(1 << 32) as u32;
         let (now, mean, rank) = (self.now, self.set.unit_mean, self.set.rank as u16);
         let Some(volume) = self.volumes.get_mut(&id).filter(|v| v.pooled > 0.0) else { return };
-        let again = volume.asked.map_or(0, |(_, at)| at + volume.hold() / 4);
+        let again = volume.asked.map_or(Duration::ZERO, |(_, at)| at + volume.hold() / 4);
         if again > now {
             return self.wake_by(again);
         }
@@ -783,7 +788,7 @@
     fn budget_allows(&mut self) -> bool {
         let Some((free, share)) = self.set.rules.budget() else { return true };
         let span = self.set.rules.budget_span;
-        let since = (self.now + 1).saturating_sub(span);
+        let since = (self.now + NANO).saturating_sub(span);
         let (taken, further) = (self.taken.since(since), self.further.since(since));
         let allowed = further + 1.0 <= free + share * taken;
         if let (false, Some(at)) = (allowed, self.further.first()) {
@@ -798,13 +803,13 @@
     fn room(&mut self, id: NodeId) -> f64 {
         let Some(node) = self.nodes.get(&id) else { return 0.0 };
         let (rules, bears) = (&self.set.rules, self.set.cold_bears);
-        let age = node.born.map_or(Nanos::MAX, |born| self.now.saturating_sub(born));
+        let age = node.born.map_or(FOREVER, |born| self.now.saturating_sub(born));
         let follows = node.relays > 0 && node.relay_until >= self.now;
         if follows || age >= rules.warm_up || rules.start_capacity <= 0.0 || bears <= 0.0 {
             return f64::INFINITY;
         }
         let start = rules.start_capacity.min(1.0);
-        let grown = (start + (1.0 - start) * age as f64 / rules.warm_up as f64) / start;
+        let grown = (start + (1.0 - start) * nanos(age) / nanos(rules.warm_up)) / start;
         if self.in_turns() {
             self.turn_room(id, bears * (1.0 - 1.0 / rules.overload.max(1.5)), grown)
         } else {
@@ -828,10 +833,10 @@
     fn part_room(&mut self, id: NodeId, bears: f64) -> f64 {
         let Some(node) = self.nodes.get(&id) else { return 0.0 };
         let span = self.set.rules.tip_after;
-        let since = (self.now + 1).saturating_sub(span);
+        let since = (self.now + NANO).saturating_sub(span);
         let spent = node.sent.sum(since);
         // A reborn host may have used its part in its last life.
-        let reborn = self.now < self.started + span && self.started >= node.born.unwrap_or(0);
+        let reborn = self.now < self.started + span && self.started >= node.born.unwrap_or_default();
         let free_at = node.sent.first().map_or(self.now + SECOND / 10, |at| at + span);
         self.wake_by(free_at);
         if reborn {
@@ -849,7 +854,8 @@
         let hosts = u64::from(self.set.hosts.max(1));
         let turns = (bears / self.set.unit_mean.ceil().max(1.0)).floor().max(1.0);
         let open = rules.tip_after / 10;
-        let span = (((rules.tip_after + open) as f64 / turns) as Nanos).max(1);
+        let span = ((nanos(rules.tip_after + open) / turns) as u64).max(1);
+        let start = |turn: u64| Duration::from_nanos(turn.saturating_mul(span));
         // As the node warms a turn grows to a largest request, then more hosts share it.
         // Hosts that want nothing of this node leave their turns unused: others of this host's own
         // thrift, by how many shards it was asked for of late, may share each.
@@ -858,13 +864,13 @@
         let budget = bears / turns * (shared / at_once as f64).min(2.0);
         let first = u64::from(self.set.rank) + scramble(u64::from(id)) % hosts;
         let mine = |turn: u64| (first + turn % hosts * self.stride) % hosts < at_once;
-        let turn = self.now / span;
-        let spent = node.sent.sum(turn * span);
+        let turn = self.now.as_nanos() as u64 / span;
+        let spent = node.sent.sum(start(turn));
         // A reborn host may have used this turn in its last life.
-        let fresh = self.started < turn * span && self.now < turn * span + open;
+        let fresh = self.started < start(turn) && self.now < start(turn) + open;
         let room = if mine(turn) && fresh { budget - spent } else { 0.0 };
         let next = (turn + 1..turn + 1 + hosts).find(|t| mine(*t)).unwrap_or(turn + 1);
-        self.wake_by((next * span).min(self.now + SECOND / 2));
+        self.wake_by(start(next).min(self.now + SECOND / 2));
         room
     }
 
@@ -903,21 +909,25 @@
         }
         job.drawn = true;
         self.shelve(id);
-        self.acts.push(Action::Send { request: id, node: to, timeout: 0 });
+        self.acts.push(Action::Send { request: id, node: to, timeout: Duration::ZERO });
     }
 
-    fn wake_by(&mut self, at: Nanos) {
+    fn wake_by(&mut self, at: Duration) {
         self.next = self.next.min(at);
     }
 
     fn arm(&mut self) {
-        if self.next < Nanos::MAX && self.armed.is_none_or(|at| self.next < at || at < self.now) {
-            let at = self.next.max(self.now + 1);
+        if self.next < FOREVER && self.armed.is_none_or(|at| self.next < at || at < self.now) {
+            let at = self.next.max(self.now + NANO);
             self.acts.push(Action::Wake(at));
             self.armed = Some(at);
         }
     }
 
+    fn random_span(&mut self, bound: Duration) -> Duration {
+        Duration::from_nanos(self.random(bound.as_nanos() as u64))
+    }
+
     /// A number below `bound`, from the instance's seed alone.
     fn random(&mut self, bound: u64) -> u64 {
         self.drawn = self.drawn.wrapping_add(1);
@@ -927,13 +937,13 @@
 
 impl Node {
     /// The round trip as believed now: a late answer is no longer news after a lease or two.
-    fn trip(&self, now: Nanos) -> f64 {
+    fn trip(&self, now: Duration) -> f64 {
         let fresh = (-seconds(now.saturating_sub(self.seen_at)) / seconds(LEASE)).exp();
         self.service + (self.lag - self.service).max(0.0) * fresh
     }
 
-    fn shrink(&mut self, now: Nanos) {
-        if now >= self.shrunk_at + self.lag as Nanos {
+    fn shrink(&mut self, now: Duration) {
+        if now >= self.shrunk_at + span_of(self.lag) {
             self.window = (self.window / 2.0).max(1.0);
             self.shrunk_at = now;
         }
@@ -946,7 +956,7 @@
 
 impl Volume {
     /// This host's part of the volume: own demand over all demand; the static part while news is old.
-    fn share(&self, now: Nanos) -> f64 {
+    fn share(&self, now: Duration) -> f64 {
         let even = 1.0 / self.hosts;
         let fresh = self.news_at.is_some_and(|at| now <= at + STALE_LEASES * LEASE);
         let (own, others) = (self.demand.get(now, LEASE), self.others_rate(now));
@@ -956,12 +966,12 @@
         own / (own + others)
     }
 
-    fn others_rate(&self, now: Nanos) -> f64 {
+    fn others_rate(&self, now: Duration) -> f64 {
         self.others.get(now, LEASE).max(self.total - self.served.get(now, LEASE))
     }
 
     /// How many units the buckets lack for a request of this size.
-    fn missing(&mut self, now: Nanos, units: f64) -> f64 {
+    fn missing(&mut self, now: Duration, units: f64) -> f64 {
         let limit = self.plan.limit;
         let empty = self.slice.tokens < units;
         if now >= self.scaled_at + LEASE || empty && now >= self.scaled_at + LEASE / 4 {
@@ -980,7 +990,7 @@
     }
 
     /// How long given units may be held: the home's store must not fill past the tolerance meanwhile.
-    fn hold(&self) -> Nanos {
-        (0.4 * self.plan.tolerance / (POOLED * self.plan.limit) * 1e9) as Nanos
+    fn hold(&self) -> Duration {
+        span_of(0.4 * self.plan.tolerance / (POOLED * self.plan.limit) * 1e9)
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,10 +1,10 @@
 //! What a host and the scheduler say to each other: settings, events and actions.
 //!
-//! All times are nanoseconds of the host's clock, which never goes backwards. Figures called units are
+//! A point in time is the span since the zero of the host's clock, which never goes backwards. Figures called units are
 //! the sizes of requests, in which reserves, limits and worth are counted.
 
-/// A point in time or a span of it, in nanoseconds.
-pub type Nanos = u64;
+use std::time::Duration;
+
 /// The number the host gives a request; never used twice.
 pub type RequestId = u64;
 /// The number of a storage node; stays the same when its process restarts.
@@ -42,9 +42,9 @@
     /// Its name.
     pub name: String,
     /// Full worth is earned by an answer within this time.
-    pub aim: Nanos,
+    pub aim: Duration,
     /// The client's whole wait.
-    pub deadline: Nanos,
+    pub deadline: Duration,
     /// The part of the worth that an answer after the aim still earns.
     pub late_worth: f64,
     /// What one request is worth.
@@ -54,7 +54,7 @@
     /// Who drops repeats of a keyed request.
     pub group: Group,
     /// How long repeats are dropped, from the first attempt that may have run.
-    pub memory: Nanos,
+    pub memory: Duration,
     /// Requests with the same key run one at a time, in the order taken.
     pub ordered: bool,
 }
@@ -84,20 +84,20 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Rules {
     /// A host that may not have heard of changes for this long counts as told of them; 0: none.
-    pub ask_within: Nanos,
+    pub ask_within: Duration,
     /// A node just started can do at least this part of its usual work.
     pub start_capacity: f64,
     /// A node is warm this long after its start.
-    pub warm_up: Nanos,
+    pub warm_up: Duration,
     /// A cold node falls over when sent more than this many times what it can do, all hosts together,
     /// for `tip_after`; 0: not stated.
     pub overload: f64,
     /// The span over which work sent to a cold node is counted.
-    pub tip_after: Nanos,
+    pub tip_after: Duration,
     /// How long a key rests after an attempt that may still run.
-    pub order_rest: Nanos,
+    pub order_rest: Duration,
     /// The span over which further attempts are counted; 0: no budget.
-    pub budget_span: Nanos,
+    pub budget_span: Duration,
     /// Further attempts always allowed in that span; `None`: no budget.
     pub budget_free: Option<f64>,
     /// Further attempts for each request taken in that span; `None`: no budget.
@@ -116,7 +116,7 @@
     /// The names of the zones, by number.
     pub zones: Vec<String>,
     /// The shortest time between batches.
-    pub step: Nanos,
+    pub step: Duration,
     /// The list of nodes comes only when asked for.
     pub list_on_request: bool,
     /// The classes, by number.
@@ -136,17 +136,17 @@
     /// The host may send [`Action::Cancel`].
     pub cancels: bool,
     /// The longest wait that they keep; 0: not stated.
-    pub retry_after_top: Nanos,
+    pub retry_after_top: Duration,
     /// Units within `tip_after`, from all hosts together, that a cold node always bears.
     pub cold_bears: f64,
     /// An idle connection to a node is closed by the node after this long.
-    pub keepalive: Nanos,
+    pub keepalive: Duration,
     /// A connection not made by then is given up.
-    pub connect_timeout: Nanos,
+    pub connect_timeout: Duration,
     /// The names of the figures in load reports, in their order.
     pub load_fields: Vec<String>,
     /// The period over which the meter adds up use; 0: no meter.
-    pub meter_period: Nanos,
+    pub meter_period: Duration,
     /// Mean units of a request.
     pub unit_mean: f64,
     /// The most units of one request.
@@ -160,7 +160,7 @@
 impl Rules {
     /// Further attempts always allowed in `budget_span`, and for each request taken; `None`: no budget.
     pub fn budget(&self) -> Option<(f64, f64)> {
-        let stated = self.budget_span > 0 && self.budget_free.or(self.budget_share).is_some();
+        let stated = !self.budget_span.is_zero() && self.budget_free.or(self.budget_share).is_some();
         stated.then_some((self.budget_free.unwrap_or(0.0), self.budget_share.unwrap_or(0.0)))
     }
 }
@@ -173,7 +173,7 @@
 
     /// The shortest aim of all classes, in nanoseconds; a second where there are none.
     pub fn shortest_aim(&self) -> f64 {
-        self.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000_000) as f64
+        self.classes.iter().map(|c| c.aim).min().unwrap_or(Duration::from_secs(1)).as_nanos() as f64
     }
 
     /// What a request of the class worth most is worth.
@@ -207,7 +207,7 @@
     /// Its size.
     pub units: f64,
     /// How long until the client gives up.
-    pub patience: Nanos,
+    pub patience: Duration,
     /// The client marked it as a repeat of its own.
     pub repeat: bool,
 }
@@ -236,7 +236,7 @@
     /// What it is ready for.
     pub readiness: Readiness,
     /// When it last started; 0: long ago.
-    pub born: Nanos,
+    pub born: Duration,
 }
 
 /// What a report on the list of nodes holds.
@@ -298,7 +298,7 @@
     /// How it ended.
     pub ending: Ending,
     /// How long since it was sent.
-    pub took: Nanos,
+    pub took: Duration,
     /// The request is over, by this or before it.
     pub over: bool,
     /// Units served for the volume everywhere in a finished period, in parts of the plan's rate.
@@ -357,14 +357,14 @@
         /// Where.
         node: NodeId,
         /// Time-out; 0: when the client gives up.
-        timeout: Nanos,
+        timeout: Duration,
     },
     /// Final answer: turned away, a retry is harmless.
     Refuse {
         /// Which request.
         request: RequestId,
         /// How long its client should stay away; 0: no advice.
-        retry_after: Nanos,
+        retry_after: Duration,
     },
     /// Final answer: failed, nothing is promised of its effect.
     Fail {
@@ -379,7 +379,7 @@
         number: u8,
     },
     /// Bring [`Event::Timer`] at or after this time.
-    Wake(Nanos),
+    Wake(Duration),
     /// Probe a node.
     Probe(NodeId),
     /// Close idle connections to a node.
--- a/src/json.rs
+++ b/src/json.rs
@@ -2,6 +2,7 @@
 
 use simd_json::prelude::*;
 use simd_json::BorrowedValue;
+use std::time::Duration;
 
 /// Why a text could not be read, in one line.
 pub type Fault = String;
@@ -59,6 +60,11 @@
         }
     }
 
+    /// A span, given in nanoseconds.
+    pub fn span(self) -> Result<Duration, Fault> {
+        self.whole().map(Duration::from_nanos)
+    }
+
     /// True or false; false where there is nothing.
     pub fn yes(self) -> Result<bool, Fault> {
         match self.0 {
--- a/src/main.rs
+++ b/src/main.rs
@@ -127,7 +127,8 @@
     }
     let listener =
         TcpListener::bind(operator.listen).await.map_err(|e| format!("{}: {e}", operator.listen))?;
-    host::log(&format!("NBD on {}: {} exports", operator.listen, operator.exports.len()));
+    let place = listener.local_addr().map_err(|e| format!("{}: {e}", operator.listen))?;
+    host::log(&format!("NBD, {} exports, listens on {place}", operator.exports.len()));
     nbd::front::serve(host, operator, listener, async move {
         term.recv().await;
     })
@@ -144,6 +145,7 @@
     host.feed(Input::List(known));
     actix_rt::spawn(watch::follow(host.clone(), discovery, revision));
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
+    host::log(&format!("{name} listens on {}", listener.local_addr().map_err(|e| format!("{listen}: {e}"))?));
     let rest = sockets.saturating_sub(SPARE_SOCKETS);
     let client = boxes::client(&settings, rest / 3);
     let front = front::Front { host, settings, client, most: rest - rest / 3 };
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -1,17 +1,17 @@
 //! Arithmetic that `src/choice.rs` uses; nothing is decided or tuned here.
 
-use crate::interface::Nanos;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 /// Units that come in at a rate, up to a cap.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Bucket {
     pub(crate) tokens: f64,
-    pub(crate) at: Nanos,
+    pub(crate) at: Duration,
 }
 
 impl Bucket {
-    pub(crate) fn fill(&mut self, now: Nanos, rate: f64, cap: f64) -> f64 {
+    pub(crate) fn fill(&mut self, now: Duration, rate: f64, cap: f64) -> f64 {
         self.tokens = (self.tokens + rate * seconds(now.saturating_sub(self.at))).min(cap);
         self.at = now;
         self.tokens
@@ -22,14 +22,14 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Rate {
     pub(crate) value: f64,
-    pub(crate) at: Nanos,
+    pub(crate) at: Duration,
 }
 
 impl Rate {
-    pub(crate) fn get(&self, now: Nanos, span: Nanos) -> f64 {
+    pub(crate) fn get(&self, now: Duration, span: Duration) -> f64 {
         self.value * (-seconds(now.saturating_sub(self.at)) / seconds(span)).exp()
     }
-    pub(crate) fn add(&mut self, now: Nanos, units: f64, span: Nanos) {
+    pub(crate) fn add(&mut self, now: Duration, units: f64, span: Duration) {
         self.value = self.get(now, span) + units / seconds(span);
         self.at = now;
     }
@@ -43,39 +43,39 @@
 }
 
 impl Part {
-    pub(crate) fn add(&mut self, now: Nanos, of_it: bool, span: Nanos) {
+    pub(crate) fn add(&mut self, now: Duration, of_it: bool, span: Duration) {
         self.some.add(now, f64::from(u8::from(of_it)), span);
         self.all.add(now, 1.0, span);
     }
 
-    pub(crate) fn get(&self, now: Nanos, span: Nanos) -> f64 {
+    pub(crate) fn get(&self, now: Duration, span: Duration) -> f64 {
         self.some.get(now, span) / (self.all.get(now, span) + 1.0)
     }
 }
 
 /// Amounts with their times, oldest first.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Recent(VecDeque<(Nanos, f64)>);
+pub(crate) struct Recent(VecDeque<(Duration, f64)>);
 
 impl Recent {
-    pub(crate) fn add(&mut self, now: Nanos, amount: f64) {
+    pub(crate) fn add(&mut self, now: Duration, amount: f64) {
         self.0.push_back((now, amount));
     }
 
     /// Their sum from then on.
-    pub(crate) fn sum(&self, from: Nanos) -> f64 {
+    pub(crate) fn sum(&self, from: Duration) -> f64 {
         self.0.iter().rev().take_while(|a| a.0 >= from).map(|a| a.1).sum()
     }
 
     /// The same, forgetting older ones.
-    pub(crate) fn since(&mut self, from: Nanos) -> f64 {
+    pub(crate) fn since(&mut self, from: Duration) -> f64 {
         while self.0.front().is_some_and(|a| a.0 < from) {
             self.0.pop_front();
         }
         self.sum(from)
     }
 
-    pub(crate) fn first(&self) -> Option<Nanos> {
+    pub(crate) fn first(&self) -> Option<Duration> {
         self.0.front().map(|a| a.0)
     }
 
@@ -84,8 +84,17 @@
     }
 }
 
-pub(crate) fn seconds(span: Nanos) -> f64 {
-    span as f64 / 1e9
+pub(crate) fn nanos(span: Duration) -> f64 {
+    span.as_nanos() as f64
+}
+
+pub(crate) fn seconds(span: Duration) -> f64 {
+    nanos(span) / 1e9
+}
+
+/// From nanoseconds; below nothing is nothing.
+pub(crate) fn span_of(nanos: f64) -> Duration {
+    Duration::from_nanos(nanos as u64)
 }
 
 /// A number that looks random, always the same for the same one.
@@ -108,6 +117,6 @@
 }
 
 /// Doubles with each failure, from the first to the top.
-pub(crate) fn backoff(first: Nanos, top: Nanos, failures: u32) -> Nanos {
+pub(crate) fn backoff(first: Duration, top: Duration, failures: u32) -> Duration {
     first.saturating_mul(1 << failures.clamp(1, 16).saturating_sub(1)).min(top)
 }
--- a/src/nbd/front.rs
+++ b/src/nbd/front.rs
@@ -47,10 +47,10 @@
 /// Serves until `stop` ends, and then what was taken.
 pub async fn serve(host: Host, operator: Operator, listener: TcpListener, stop: impl Future<Output = ()>) {
     let settings = &operator.settings;
-    let span = |nanos: u64, or: u64| Duration::from_nanos(if nanos > 0 { nanos } else { or });
-    let connect = span(settings.connect_timeout, 250_000_000);
-    let idle = span(settings.keepalive, 5_000_000_000) * 6 / 10;
-    let longest = Duration::from_nanos(settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
+    let or = |span: Duration, other: Duration| if span.is_zero() { other } else { span };
+    let connect = or(settings.connect_timeout, Duration::from_millis(250));
+    let idle = or(settings.keepalive, Duration::from_secs(5)) * 6 / 10;
+    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let closing = Closing::default();
     // A client's connection may have several to boxes in use.
     let most = (operator.sockets / 4).max(1);
@@ -330,7 +330,7 @@
             _ => operator.classes.read,
         };
         let region = part.at / u64::from(operator.large_from);
-        let patience = operator.settings.classes.get(class as usize).map_or(0, |c| c.deadline);
+        let patience = operator.settings.classes.get(class as usize).map_or(Duration::ZERO, |c| c.deadline);
         let ask = Ask {
             class,
             volume: self.export.volume,
@@ -339,7 +339,7 @@
             key: 1 + (region ^ self.export.volume.rotate_left(24)) % (u64::MAX - 1),
             shard: Some(part.shard),
             units: f64::from(part.length.div_ceil(operator.unit_bytes).max(1)),
-            patience: Duration::from_nanos(patience),
+            patience,
             repeat: false,
         };
         let from = part.skip as usize;
--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -20,8 +20,8 @@
 /// would end attempts that the core still waits for: both are off.
 pub fn client(set: &Settings, most: usize) -> Client {
     // A connection idle for as long as the box keeps it would be closed under the next request.
-    let idle = Duration::from_nanos(set.keepalive) * 6 / 10;
-    let connect = Duration::from_nanos(set.connect_timeout);
+    let idle = set.keepalive * 6 / 10;
+    let connect = set.connect_timeout;
     let connector = Connector::new()
         .timeout(if connect.is_zero() { Duration::from_millis(250) } else { connect })
         .conn_keep_alive(if idle.is_zero() { Duration::from_secs(5) } else { idle })
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -38,8 +38,7 @@
 pub async fn serve(front: Front, listener: TcpListener, stop: impl std::future::Future<Output = ()>) {
     let Front { host, settings, client, most } = front;
     let closing = Closing::default();
-    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let longest = Duration::from_nanos(longest);
+    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let gate = Gate { listener, host: host.clone(), most, sheds: true, longest, closing: closing.clone() };
     let settings = Rc::new(settings);
     let handler = fn_service(move |request: Request| {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -17,7 +17,7 @@
         rank: top.at("rank").whole()? as u32,
         zone: top.at("my-zone").whole()? as u16,
         zones: top.at("zones").texts()?,
-        step: top.at("step").whole()?,
+        step: top.at("step").span()?,
         list_on_request: top.at("membership-mode").text()? == "on_request",
         classes: top.at("lanes").list()?.into_iter().map(class).collect::<Result<_, _>>()?,
         plans: top.at("plans").list()?.into_iter().map(plan).collect::<Result<_, _>>()?,
@@ -27,12 +27,12 @@
         peers: limits.at("peers").yes()?,
         probes: limits.at("probes").yes()?,
         cancels: limits.at("cancelling").yes()?,
-        retry_after_top: limits.at("max-retry-after").whole()?,
+        retry_after_top: limits.at("max-retry-after").span()?,
         cold_bears: domain.at("cold-bears").real()?,
-        keepalive: limits.at("keepalive").whole()?,
-        connect_timeout: limits.at("connect-timeout").whole()?,
+        keepalive: limits.at("keepalive").span()?,
+        connect_timeout: limits.at("connect-timeout").span()?,
         load_fields: top.at("report").at("fields").texts()?,
-        meter_period: domain.at("meter-period").whole()?,
+        meter_period: domain.at("meter-period").span()?,
         unit_mean: domain.at("unit-mean").real()?,
         units_top: domain.at("units-top").real()?,
         share_worth: domain.at("share-worth").real()?,
@@ -43,8 +43,8 @@
 fn class(lane: Look) -> Result<Class, Fault> {
     Ok(Class {
         name: lane.at("name").text()?.into(),
-        aim: lane.at("aim").whole()?,
-        deadline: lane.at("deadline").whole()?,
+        aim: lane.at("aim").span()?,
+        deadline: lane.at("deadline").span()?,
         late_worth: lane.at("late-worth").real()?,
         value: lane.at("value").real()?,
         effect: match lane.at("idempotency").text()? {
@@ -57,7 +57,7 @@
             "zone" => Group::Zone,
             _ => Group::Shard,
         },
-        memory: lane.at("memory-span").whole()?,
+        memory: lane.at("memory-span").span()?,
         ordered: lane.at("keep-order").yes()?,
     })
 }
@@ -77,13 +77,13 @@
 
 fn rules(rules: Look) -> Result<Rules, Fault> {
     Ok(Rules {
-        ask_within: rules.at("ask-within").whole()?,
+        ask_within: rules.at("ask-within").span()?,
         start_capacity: rules.at("start-capacity").real()?,
-        warm_up: rules.at("warm-up").whole()?,
+        warm_up: rules.at("warm-up").span()?,
         overload: rules.at("overload-factor").real()?,
-        tip_after: rules.at("tip-after").whole()?,
-        order_rest: rules.at("order-pause").whole()?,
-        budget_span: rules.at("look-back").whole()?,
+        tip_after: rules.at("tip-after").span()?,
+        order_rest: rules.at("order-pause").span()?,
+        budget_span: rules.at("look-back").span()?,
         budget_free: rules.at("extra-free").number()?,
         budget_share: rules.at("further-ratio").number()?,
     })
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,9 +3,10 @@
 use crate::interface::*;
 use crate::measure::{Bucket, Rate, Recent};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
 
 pub(crate) type Lane = (VolumeId, u16); // a volume's requests of one class
-pub(crate) type Queue = BTreeSet<(Nanos, RequestId)>; // by the time their aim passes
+pub(crate) type Queue = BTreeSet<(Duration, RequestId)>; // by the time their aim passes
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Volume {
@@ -18,15 +19,15 @@
     pub(crate) sent: Rate,
     pub(crate) others: Rate,
     pub(crate) total: f64, // Units a second reported over all hosts, and when.
-    pub(crate) news_at: Option<Nanos>,
+    pub(crate) news_at: Option<Duration>,
     pub(crate) scale: f64, // The design's f, and when it was last set.
-    pub(crate) scaled_at: Nanos,
+    pub(crate) scaled_at: Duration,
     pub(crate) slice: Bucket,
     pub(crate) sure: Bucket,
     pub(crate) pooled: f64, // Part of the limit that the volume's home deals out.
-    pub(crate) asked: Option<(u32, Nanos)>,
+    pub(crate) asked: Option<(u32, Duration)>,
     pub(crate) given: f64, // Units from the home, to be spent by then.
-    pub(crate) given_until: Nanos,
+    pub(crate) given_until: Duration,
     pub(crate) reserve: Bucket,
 }
 
@@ -40,24 +41,24 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Job {
     pub(crate) req: Request,
-    pub(crate) came: Nanos,
-    pub(crate) aim_at: Nanos,
-    pub(crate) due: Nanos,
+    pub(crate) came: Duration,
+    pub(crate) aim_at: Duration,
+    pub(crate) due: Duration,
     /// Where and when each attempt went, and whether its outcome is still to come.
-    pub(crate) attempts: Vec<(NodeId, Nanos, bool)>,
+    pub(crate) attempts: Vec<(NodeId, Duration, bool)>,
     pub(crate) out: u32,
     pub(crate) over: bool,
     pub(crate) queued: bool,
     pub(crate) drawn: bool,
     pub(crate) streaming: bool,
-    pub(crate) may_have_run: Option<(NodeId, Nanos)>, // The first attempt that may have run.
+    pub(crate) may_have_run: Option<(NodeId, Duration)>, // The first attempt that may have run.
 }
 
 /// The requests of one key of the ordered classes, as taken.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Line {
     pub(crate) jobs: VecDeque<RequestId>,
-    pub(crate) rest_until: Nanos,
+    pub(crate) rest_until: Duration,
 }
 
 /// An attempt whose outcome is not in.
@@ -65,7 +66,7 @@
 pub(crate) struct Out {
     pub(crate) job: RequestId,
     pub(crate) number: u8,
-    pub(crate) sent_at: Nanos,
+    pub(crate) sent_at: Duration,
     pub(crate) overtaken: u32, // How many sent after it were answered before it.
     pub(crate) missed: bool,   // Taken for lost on the way.
 }
@@ -76,30 +77,30 @@
     pub(crate) shard: u16,
     pub(crate) ready: bool,
     pub(crate) gone: bool,
-    pub(crate) born: Option<Nanos>, // When it started, as listed or as guessed from failures; `None`: long ago.
-    pub(crate) listed: Option<Nanos>,
-    pub(crate) broke_at: Option<Nanos>, // When its connections broke and nothing else was seen yet.
+    pub(crate) born: Option<Duration>, // When it started, as listed or as guessed from failures; `None`: long ago.
+    pub(crate) listed: Option<Duration>,
+    pub(crate) broke_at: Option<Duration>, // When its connections broke and nothing else was seen yet.
     pub(crate) out: Vec<Out>,
     pub(crate) quiet: u32,   // Very late attempts since the last answer.
     pub(crate) unheard: u32, // Time-outs since the last answer.
     pub(crate) window: f64,
-    pub(crate) shrunk_at: Nanos,
+    pub(crate) shrunk_at: Duration,
     pub(crate) lag: f64, // Smoothed round trip, and the node's own service time, in ns.
     pub(crate) service: f64,
     pub(crate) fails: u32,
-    pub(crate) hold_until: Nanos,
+    pub(crate) hold_until: Duration,
     pub(crate) sent: Recent, // Units sent of late, not those that followed an answer.
     pub(crate) relays: u32,  // Answers while cold after each of which one more may follow, until then.
-    pub(crate) relay_until: Nanos,
-    pub(crate) seen_at: Nanos, // When it last answered, and when it was last sent something.
-    pub(crate) sent_at: Nanos,
+    pub(crate) relay_until: Duration,
+    pub(crate) seen_at: Duration, // When it last answered, and when it was last sent something.
+    pub(crate) sent_at: Duration,
     pub(crate) last_key: u64,
     pub(crate) last_lane: Lane,
 }
 
 impl Job {
     /// Where and when the first attempt went that may have run or may still run.
-    pub(crate) fn first_run(&self) -> Option<(NodeId, Nanos)> {
+    pub(crate) fn first_run(&self) -> Option<(NodeId, Duration)> {
         self.may_have_run.or(self.attempts.iter().find(|a| a.2).map(|a| (a.0, a.1)))
     }
 }
@@ -115,7 +116,7 @@
 }
 
 impl Volume {
-    pub(crate) fn gift(&self, now: Nanos) -> f64 {
+    pub(crate) fn gift(&self, now: Duration) -> f64 {
         if now < self.given_until {
             self.given
         } else {
@@ -127,12 +128,12 @@
 /// Times of requests, by shelf, each request once.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Dues {
-    shelves: BTreeMap<Shelf, BTreeSet<(Nanos, RequestId)>>,
-    places: BTreeMap<RequestId, (Shelf, Nanos)>,
+    shelves: BTreeMap<Shelf, BTreeSet<(Duration, RequestId)>>,
+    places: BTreeMap<RequestId, (Shelf, Duration)>,
 }
 
 impl Dues {
-    pub(crate) fn put(&mut self, id: RequestId, shelf: Shelf, at: Nanos) {
+    pub(crate) fn put(&mut self, id: RequestId, shelf: Shelf, at: Duration) {
         self.remove(id);
         self.shelves.entry(shelf).or_default().insert((at, id));
         self.places.insert(id, (shelf, at));
@@ -148,7 +149,7 @@
         }
     }
 
-    pub(crate) fn first(&self, shelf: Shelf) -> Option<(Nanos, RequestId)> {
+    pub(crate) fn first(&self, shelf: Shelf) -> Option<(Duration, RequestId)> {
         self.shelves.get(&shelf)?.first().copied()
     }
 
@@ -162,11 +163,11 @@
 pub(crate) struct Queues(BTreeMap<Option<u16>, BTreeMap<Lane, Queue>>);
 
 impl Queues {
-    pub(crate) fn put(&mut self, shard: Option<u16>, lane: Lane, entry: (Nanos, RequestId)) {
+    pub(crate) fn put(&mut self, shard: Option<u16>, lane: Lane, entry: (Duration, RequestId)) {
         self.0.entry(shard).or_default().entry(lane).or_default().insert(entry);
     }
 
-    pub(crate) fn remove(&mut self, shard: Option<u16>, lane: Lane, entry: (Nanos, RequestId)) {
+    pub(crate) fn remove(&mut self, shard: Option<u16>, lane: Lane, entry: (Duration, RequestId)) {
         let Some(lanes) = self.0.get_mut(&shard) else { return };
         if let Some(queue) = lanes.get_mut(&lane) {
             queue.remove(&entry);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{self, Read, Write};
+use std::time::Duration;
 
 /// Why the wire could not be followed.
 #[derive(Debug)]
@@ -56,6 +57,9 @@
     fn u64(self, at: usize) -> u64 {
         u64::from_le_bytes(self.bytes(at))
     }
+    fn span(self, at: usize) -> Duration {
+        Duration::from_nanos(self.u64(at))
+    }
     fn f32(self, at: usize) -> f64 {
         f64::from(f32::from_le_bytes(self.bytes(at)))
     }
@@ -95,7 +99,7 @@
         if frame.len() < HEADER || head.u32(0) as usize != frame.len() {
             return fault("a frame's length does not fit its header");
         }
-        let (now, count) = (head.u64(4), head.u32(12) as usize);
+        let (now, count) = (head.span(4), head.u32(12) as usize);
         let body = &frame[HEADER..];
         let split = match count.checked_mul(EVENT) {
             Some(n) if n <= body.len() => n,
@@ -181,7 +185,7 @@
     Ok(true)
 }
 
-fn provision(record: Cut, tail: &[u8], now: Nanos) -> Result<Hosted, Fault> {
+fn provision(record: Cut, tail: &[u8], now: Duration) -> Result<Hosted, Fault> {
     let text = record.part(11, tail, 1)?;
     let settings = settings::read(&mut text.to_vec()).map_err(Fault)?;
     let fields = settings.load_fields.clone();
@@ -196,7 +200,7 @@
             number: record.u8(11),
             node: record.u32(12),
             ending: ending(record.u8(16))?,
-            took: record.u64(17),
+            took: record.span(17),
             over: record.u8(25) != 0,
             used: record.u16(26).checked_sub(1).map(|percent| f64::from(percent) / 100.0),
             elsewhere: f64::from(record.u16(28)),
@@ -213,7 +217,7 @@
             shard: shard(record.f32(25)),
             volume: record.u64(29),
             repeat: record.u16(37) & 2 != 0,
-            patience: record.u64(39),
+            patience: record.span(39),
             units: record.f32(47),
             plan: record.u16(51),
         }),
@@ -267,7 +271,7 @@
             2 => Readiness::Draining,
             code => return fault(format!("{code} is not a node's readiness")),
         },
-        born: line.u64(15),
+        born: line.span(15),
     })
 }
 
@@ -306,13 +310,13 @@
             Action::Send { request, node, timeout } => {
                 put(0, &[1]);
                 put(3, &request.to_le_bytes());
-                put(11, &timeout.to_le_bytes());
+                put(11, &nanos(*timeout));
                 put(19, &node.to_le_bytes());
             }
             Action::Refuse { request, retry_after } => {
                 put(0, &[2]);
                 put(3, &request.to_le_bytes());
-                put(11, &retry_after.to_le_bytes());
+                put(11, &nanos(*retry_after));
             }
             Action::Fail { request } => {
                 put(0, &[3]);
@@ -325,7 +329,7 @@
             }
             Action::Wake(at) => {
                 put(0, &[5]);
-                put(11, &at.to_le_bytes());
+                put(11, &nanos(*at));
             }
             Action::Probe(node) => {
                 put(0, &[6]);
@@ -364,6 +368,10 @@
     }
 }
 
+fn nanos(span: Duration) -> [u8; 8] {
+    u64::try_from(span.as_nanos()).unwrap_or(u64::MAX).to_le_bytes()
+}
+
 fn span(tail: &mut Vec<u8>, bytes: &[u8]) -> [u8; 8] {
     let mut field = [0; 8];
     field[..4].copy_from_slice(&(tail.len() as u32).to_le_bytes());
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -16,13 +16,8 @@
 impl Told {
     fn new() -> Self {
         let start = Instant::now();
-        let class = |effect| Class {
-            aim: 100_000_000,
-            deadline: 1_000_000_000,
-            value: 1.0,
-            effect,
-            ..Class::default()
-        };
+        let class =
+            |effect| Class { aim: 100 * MS, deadline: 1000 * MS, value: 1.0, effect, ..Class::default() };
         let set = Settings {
             hosts: 1,
             classes: vec![class(Repeat::Safe), class(Repeat::Unsafe)],
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,114 @@
+//! The program as its users start it: sub-commands, a bad configuration, a planned stop.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::process::{Child, Command, Output, Stdio};
+
+fn shaletack(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shaletack"));
+    command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    for variable in ["NAME", "LISTEN", "DISCOVERY", "CONFIG"] {
+        command.env_remove(format!("ROUTER_{variable}"));
+    }
+    command
+}
+
+fn run(args: &[&str]) -> Output {
+    shaletack(args).output().unwrap()
+}
+
+fn file(name: &str, text: &str) -> String {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path.to_str().unwrap().to_owned()
+}
+
+fn config(listen: &str, seed: &str) -> String {
+    format!(
+        r#"{{"name":"n3","listen":"{listen}","discovery":"127.0.0.1:9","seed":"{seed}",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+        "known":{{"revision":41,"complete":true,"members":[
+            {{"id":"s-5be2a07c","host_port":"127.0.0.1:9","locality":"a","cell":3,"phase":"up","up_since_ms":0}}]}},
+        "settings":{{"lanes":[{{"name":"leitura","deadline":1200000000,"aim":150000000}}],
+            "plans":[{{"name":"basico"}}]}}}}"#
+    )
+}
+
+#[test]
+fn the_sub_commands_say_what_they_find() {
+    let version = run(&["version"]);
+    assert_eq!(
+        String::from_utf8_lossy(&version.stdout),
+        concat!("shaletack ", env!("CARGO_PKG_VERSION"), "\n")
+    );
+    let good = file("good.json", &config("127.0.0.1:0", "8c1f30d27a5be964"));
+    assert!(run(&["check-config", &good]).status.success());
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/operator.json");
+    let checked = run(&["check-config", "--operator", example]);
+    assert!(checked.status.success(), "{checked:?}");
+    assert!(run(&["--help"]).status.success());
+}
+
+#[test]
+fn what_is_wrong_is_one_line_and_a_failure() {
+    let operator =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/operator.json")).unwrap();
+    let wrong = |name: &str, from: &str, to: &str| {
+        assert!(operator.contains(from), "{from}");
+        file(name, &operator.replacen(from, to, 1))
+    };
+    let cases = [
+        vec!["serve".into(), "--config".into(), "/nonexistent".into()],
+        vec!["check-config".into(), file("cut.json", "{\"name\":")],
+        vec!["--config".into(), file("seed.json", &config("127.0.0.1:0", "zzz"))],
+        vec!["--config".into(), file("listen.json", &config("nowhere", "1"))],
+        vec!["fly".into()],
+        vec![],
+        vec![
+            "check-config".into(),
+            "--operator".into(),
+            wrong("team.json", "\"team\": \"leituras\"", "\"team\": \"x\""),
+        ],
+        vec!["check-config".into(), "--operator".into(), wrong("size.json", "134217728", "134217729")],
+        vec![
+            "check-config".into(),
+            "--operator".into(),
+            wrong("away.json", "127.0.0.1:10809", "10.0.0.1:10809"),
+        ],
+        vec!["check-config".into(), "--operator".into(), wrong("cell.json", "\"cell\": 0", "\"cell\": 9")],
+        vec!["serve".into(), "--operator".into(), wrong("plan.json", "\"limit\": 200", "\"limit\": -1")],
+    ];
+    for args in cases {
+        let output = run(&args.iter().map(String::as_str).collect::<Vec<_>>());
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success(), "{args:?}");
+        assert_eq!(said.lines().count(), 1, "{args:?}: {said}");
+    }
+}
+
+/// Ends the program whatever becomes of the test.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn a_planned_stop_ends_with_success() {
+    let good = file("stop.json", &config("127.0.0.1:0", "1"));
+    let mut child = Running(shaletack(&["--config", &good]).spawn().unwrap());
+    let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
+    let line = lines.find(|l| l.contains("listens on ")).expect("it says where");
+    let address = line.rsplit(' ').next().unwrap();
+    let mut client = TcpStream::connect(address).unwrap();
+    client.write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+    let mut status = [0; 12];
+    client.read_exact(&mut status).unwrap();
+    assert_eq!(&status, b"HTTP/1.1 200");
+    assert!(Command::new("kill").args(["-TERM", &child.0.id().to_string()]).status().unwrap().success());
+    assert!(child.0.wait().unwrap().success());
+    assert!(lines.any(|l| l == "stopped: all that was taken is answered"));
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,10 +5,16 @@
 
 use shaletack::choice::Scheduler;
 use shaletack::interface::*;
+use std::time::Duration;
 
-pub const MS: u64 = 1_000_000;
-pub const S: u64 = 1_000 * MS;
-pub const T0: u64 = 1_000 * S;
+pub const MS: Duration = Duration::from_millis(1);
+pub const S: Duration = Duration::from_secs(1);
+/// So many milliseconds.
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub const T0: Duration = Duration::from_secs(1_000);
 
 pub fn class(effect: Effect) -> Class {
     Class {
@@ -99,8 +105,8 @@
 
 pub struct Host {
     pub scheduler: Scheduler,
-    pub now: u64,
-    pub log: Vec<(u64, Action)>,
+    pub now: Duration,
+    pub log: Vec<(Duration, Action)>,
 }
 
 impl Host {
@@ -112,7 +118,7 @@
     }
 
     /// One batch; what it brought.
-    pub fn at(&mut self, now: u64, events: &[Event]) -> Vec<Action> {
+    pub fn at(&mut self, now: Duration, events: &[Event]) -> Vec<Action> {
         self.now = now;
         let mut actions = Vec::new();
         self.scheduler.step(now, events, &mut actions);
@@ -121,7 +127,7 @@
     }
 
     /// Rings every millisecond until `end`; what that brought.
-    pub fn ring_until(&mut self, end: u64) -> Vec<(u64, Action)> {
+    pub fn ring_until(&mut self, end: Duration) -> Vec<(Duration, Action)> {
         let from = self.log.len();
         while self.now < end {
             self.at(self.now + MS, &[Event::Timer]);
@@ -129,16 +135,16 @@
         self.log[from..].to_vec()
     }
 
-    pub fn sends(&self) -> Vec<(u64, RequestId, NodeId)> {
-        let send = |(at, a): &(u64, Action)| match a {
+    pub fn sends(&self) -> Vec<(Duration, RequestId, NodeId)> {
+        let send = |(at, a): &(Duration, Action)| match a {
             Action::Send { request, node, .. } => Some((*at, *request, *node)),
             _ => None,
         };
         self.log.iter().filter_map(send).collect()
     }
 
-    pub fn ends(&self, id: RequestId) -> Vec<u64> {
-        let end = |(at, a): &(u64, Action)| match a {
+    pub fn ends(&self, id: RequestId) -> Vec<Duration> {
+        let end = |(at, a): &(Duration, Action)| match a {
             Action::Refuse { request, .. } | Action::Fail { request } if *request == id => Some(*at),
             _ => None,
         };
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -6,6 +6,7 @@
 use shaletack::choice::Scheduler;
 use shaletack::interface::*;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// One drawn step: which host, what kind, and figures to fill it.
 type Step = (usize, u8, u32, u8);
@@ -20,7 +21,7 @@
         number: out.1,
         node: out.2,
         ending,
-        took: u64::from(pick % 500) * MS,
+        took: (pick % 500) * MS,
         over: ending == Ending::Served,
         used: [None, Some(0.0), Some(9.0), Some(0.5)][(pick % 4) as usize],
         elsewhere: [0.0, 0.0, 50.0, 3.0][(pick / 4 % 4) as usize],
@@ -37,8 +38,8 @@
     let (mut store, mut now, mut id) = (plan.burst, T0, 0);
     let mut drawn: BTreeMap<RequestId, f64> = BTreeMap::new();
     for &(which, kind, pick, units) in steps {
-        let pass = u64::from(pick % 40) * MS;
-        store = (store + plan.limit * pass as f64 / 1e9).min(plan.burst);
+        let pass = (pick % 40) * MS;
+        store = (store + plan.limit * pass.as_nanos() as f64 / 1e9).min(plan.burst);
         now += pass;
         let event = match kind {
             0..=3 => {
@@ -71,19 +72,19 @@
 }
 
 /// Any legal sequence brings one final answer a request and the same actions again.
-fn one_answer_each(steps: &[Step]) -> Vec<(u64, Action)> {
+fn one_answer_each(steps: &[Step]) -> Vec<(Duration, Action)> {
     let mut set = settings();
     set.classes[0].ordered = true;
     set.second_copies = steps.len().is_multiple_of(2);
     set.list_on_request = true;
     let mut host = Host::new(set);
     let mut out: Vec<(RequestId, u8, NodeId)> = Vec::new();
-    let mut due: BTreeMap<RequestId, u64> = BTreeMap::new();
+    let mut due: BTreeMap<RequestId, Duration> = BTreeMap::new();
     let mut answers: BTreeMap<RequestId, u32> = BTreeMap::new();
     let mut id = 0;
     let quiet = std::iter::repeat_n(&(0, 255u8, 39, 0), 200);
     for &(_, kind, pick, extra) in steps.iter().chain(quiet) {
-        let now = host.now + u64::from(pick % 40) * MS;
+        let now = host.now + (pick % 40) * MS;
         let event = match kind {
             0..=120 => {
                 id += 1;
@@ -94,7 +95,7 @@
             }
             121..=135 => {
                 let readiness = [Readiness::Ready, Readiness::Draining, Readiness::Gone][(pick % 3) as usize];
-                let (node, born) = (1 + pick % 4, if pick % 2 == 0 { 0 } else { now });
+                let (node, born) = (1 + pick % 4, if pick % 2 == 0 { Duration::ZERO } else { now });
                 list(ListKind::Changes, vec![NodeLine { readiness, born, ..line(node, (node % 2) as u16) }])
             }
             136..=140 => list(ListKind::Full, vec![line(1, 1), line(2, 0)]),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use shaletack::interface::*;
+use std::time::Duration;
 
 fn sent_units(host: &Host, each: f64) -> f64 {
     host.sends().len() as f64 * each
@@ -33,7 +34,7 @@
     let mut host = Host::new(settings());
     let acts = host.at(T0, &[Event::Request(Request { shard: Some(5), ..request(1) })]);
     let Some(Action::Wake(at)) = acts.last() else { panic!("no timer: {acts:?}") };
-    let acts = host.at(at - 393, &[Event::Timer]);
+    let acts = host.at(*at - Duration::from_nanos(393), &[Event::Timer]);
     assert!(acts.iter().any(|a| matches!(a, Action::Wake(_))), "{acts:?}");
 }
 
@@ -123,7 +124,7 @@
     host.at(T0 + S, &[list(ListKind::Changes, vec![born])]);
     let mut sent = 0;
     for id in 0..400 {
-        host.at(T0 + S + id * 5 * MS, &[Event::Request(request(id))]);
+        host.at(T0 + S + ms(id * 5), &[Event::Request(request(id))]);
         for (_, id, _) in host.sends()[sent..].to_vec() {
             host.at(host.now + MS, &[outcome(id, 0, 1, Ending::Served)]);
             sent += 1;
@@ -154,7 +155,7 @@
     host.at(T0 + 2 * MS, &[outcome(1000, 1, 1, Ending::NoConnection)]);
     let mut sent = host.sends().len();
     for id in 0..300 {
-        host.at(T0 + 200 * MS + id * 5 * MS, &[Event::Request(request(id))]);
+        host.at(T0 + 200 * MS + ms(id * 5), &[Event::Request(request(id))]);
         for (_, id, _) in host.sends()[sent..].to_vec() {
             host.at(host.now + MS, &[outcome(id, if id == 1000 { 2 } else { 0 }, 1, Ending::Served)]);
             sent += 1;
@@ -169,7 +170,7 @@
     let mut host = Host::new(settings());
     let mut seen = 0;
     for id in 0..400 {
-        host.at(T0 + id * 10 * MS, &[Event::Request(request(id))]);
+        host.at(T0 + ms(id * 10), &[Event::Request(request(id))]);
         for (_, id, _) in host.sends()[seen..].to_vec() {
             let number = host.sends()[..seen].iter().filter(|s| s.1 == id).count() as u8;
             let ending = if (20..22).contains(&seen) { Ending::Broken } else { Ending::Served };
@@ -241,7 +242,7 @@
     let mut host = Host::new(settings());
     let mut served = 0;
     for id in 0..300 {
-        host.at(T0 + id * 10 * MS, &[Event::Request(request(id))]);
+        host.at(T0 + ms(id * 10), &[Event::Request(request(id))]);
         for (at, id, node) in host.sends()[served..].to_vec() {
             served += 1;
             if at < T0 + S || id % 4 != 0 {
@@ -256,7 +257,7 @@
 fn a_silent_node_is_not_flooded() {
     let mut host = Host::new(settings());
     for id in 0..200 {
-        host.at(T0 + id * 10 * MS, &[Event::Request(request(id))]);
+        host.at(T0 + ms(id * 10), &[Event::Request(request(id))]);
     }
     assert!(host.sends().len() < 40, "{}", host.sends().len());
 }
@@ -266,7 +267,7 @@
     let mut host = Host::new(settings());
     let mut seen = 0;
     for id in 0..400 {
-        host.at(T0 + id * 10 * MS, &[Event::Request(request(id))]);
+        host.at(T0 + ms(id * 10), &[Event::Request(request(id))]);
         for (at, id, _) in host.sends()[seen..].to_vec() {
             let number = host.sends()[..seen].iter().filter(|s| s.1 == id).count() as u8;
             let up = at > T0 + 2 * S;
@@ -327,7 +328,7 @@
     let mut host = one_waits(settings(), request(2));
     host.ring_until(T0 + 5 * S);
     let ended = host.ends(2)[0];
-    assert!(ended > T0 + 2 * S && ended < T0 + 2400 * MS, "{} ms", (ended - T0) / MS);
+    assert!(ended > T0 + 2 * S && ended < T0 + 2400 * MS, "{:?}", ended - T0);
     assert!(!host.sends().iter().any(|s| s.1 == 2));
 }
 
@@ -366,7 +367,7 @@
         };
         host.log.iter().find_map(|(_, a)| told(a)).expect("refused")
     };
-    let waits: std::collections::BTreeSet<u64> = (0..20).map(told).collect();
+    let waits: std::collections::BTreeSet<Duration> = (0..20).map(told).collect();
     assert!(waits.len() > 5, "{waits:?}");
     assert!(waits.iter().all(|w| (180 * MS..=900 * MS).contains(w)), "{waits:?}");
 }
@@ -488,7 +489,7 @@
         }
     }
     let (shut, open) = (host.sends()[22].0, host.sends()[35].0);
-    assert!(open < shut + 6 * S, "prompt answers end the rests: {} ms", (open - shut) / MS);
+    assert!(open < shut + 6 * S, "prompt answers end the rests: {:?}", open - shut);
     assert_eq!(sent_at_once(&host), 2, "open again");
 }
 
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -6,6 +6,7 @@
 use shaletack::interface::*;
 use shaletack::memo::Memo;
 use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 
 /// A small generator, so that runs are the same each time.
 struct Draws(u64);
@@ -17,32 +18,36 @@
     }
 }
 
+fn nanos(span: Duration) -> f64 {
+    span.as_nanos() as f64
+}
+
 fn of_many(hosts: u32, rank: u32) -> Settings {
     Settings { hosts, rank, peers: true, ..settings() }
 }
 
 /// Units sent to a cold node by so many hosts that all have more to send than they may, some of them
 /// reborn on the way: when, and how many.
-fn sent_to_a_cold_node(count: u32, seconds: u64) -> Vec<(u64, f64)> {
+fn sent_to_a_cold_node(count: u32, seconds: u32) -> Vec<(Duration, f64)> {
     let mut draws = Draws(u64::from(count));
     let born = T0 + 77 * MS;
     let cold = |kind| list(kind, vec![NodeLine { born, ..line(1, 0) }]);
     let mut hosts: Vec<Scheduler> =
         (0..count).map(|rank| Scheduler::new(of_many(count, rank), u64::from(rank), T0)).collect();
-    let mut flights: VecDeque<(u64, usize, RequestId)> = VecDeque::new();
+    let mut flights: VecDeque<(Duration, usize, RequestId)> = VecDeque::new();
     let (mut id, mut now, mut sent) = (0, born, Vec::new());
     let mut held: Vec<u64> = vec![0; count as usize];
-    let (set, mut done) = (settings(), born as f64);
+    let (set, mut done) = (settings(), nanos(born));
     while now < born + seconds * S {
         now += 10 * MS;
         let mut news: Vec<Vec<Event>> = vec![vec![Event::Timer]; count as usize];
         // The node serves in turn, as much as the rule's figure says that it can do by now.
-        let (start, age) = (set.rules.start_capacity, (now - born) as f64 / set.rules.warm_up as f64);
+        let (start, age) = (set.rules.start_capacity, nanos(now - born) / nanos(set.rules.warm_up));
         let able = set.cold_bears * (start + (1.0 - start) * age) / start / set.rules.overload;
-        let per_unit = set.rules.tip_after as f64 / able;
+        let per_unit = nanos(set.rules.tip_after) / able;
         while let Some(&(at, host, request)) = flights.front() {
-            let end = done.max(at as f64) + per_unit * (1.0 + (request % 8) as f64);
-            if end > now as f64 {
+            let end = done.max(nanos(at)) + per_unit * (1.0 + (request % 8) as f64);
+            if end > nanos(now) {
                 break;
             }
             done = end;
@@ -53,7 +58,7 @@
         }
         if draws.below(10) == 0 {
             let at = draws.below(u64::from(count)) as usize;
-            hosts[at] = Scheduler::new(of_many(count, at as u32), now, now);
+            hosts[at] = Scheduler::new(of_many(count, at as u32), now.as_nanos() as u64, now);
             flights.iter_mut().filter(|f| f.1 == at).for_each(|f| f.1 = usize::MAX);
             (held[at], news[at]) = (0, vec![]);
         }
@@ -88,11 +93,11 @@
         let set = settings();
         let (born, start) = (T0 + 77 * MS, set.rules.start_capacity);
         for (at, _) in &sent {
-            let within = |s: &&(u64, f64)| s.0 <= *at && s.0 + set.rules.tip_after > *at;
+            let within = |s: &&(Duration, f64)| s.0 <= *at && s.0 + set.rules.tip_after > *at;
             let units: f64 = sent.iter().filter(within).map(|s| s.1).sum();
-            let warm = (at - born) as f64 / set.rules.warm_up as f64;
+            let warm = nanos(*at - born) / nanos(set.rules.warm_up);
             let bears = set.cold_bears * (start + (1.0 - start) * warm) / start;
-            assert!(units <= bears, "{count} hosts: {units} of {bears} units at {} ms", (at - born) / MS);
+            assert!(units <= bears, "{count} hosts: {units} of {bears} units at {:?}", *at - born);
         }
         let early = sent.iter().filter(|s| s.0 < born + 4 * S).count();
         // Two hosts send requests of 1 to 8 units, the node does not two of them a second at its start.
@@ -100,7 +105,7 @@
     }
 }
 
-type Letter = (u64, u16, u16, Vec<u8>);
+type Letter = (Duration, u16, u16, Vec<u8>);
 
 /// Six hosts of one limited volume, asked every 5 ms, at first the first `busy` of them; what they sent.
 struct Limited {
@@ -108,7 +113,7 @@
     news: Vec<Vec<Event>>,
     letters: Vec<Letter>,
     draws: Draws,
-    now: u64,
+    now: Duration,
     id: u64,
 }
 
@@ -120,7 +125,7 @@
     }
 
     fn reborn(&mut self, at: usize) {
-        self.hosts[at] = Scheduler::new(of_many(6, at as u32), self.now, self.now);
+        self.hosts[at] = Scheduler::new(of_many(6, at as u32), self.now.as_nanos() as u64, self.now);
         self.news[at] = vec![list(ListKind::Cached, vec![line(1, 0)])];
     }
 
@@ -154,7 +159,7 @@
                             if lossy { [0, 2, 1, 1, 1, 1, 1, 1][self.draws.below(8) as usize] } else { 1 };
                         for _ in 0..copies {
                             let late = if lossy && self.draws.below(10) == 0 { 3000 } else { 20 };
-                            let comes = self.now + self.draws.below(late) * MS;
+                            let comes = self.now + ms(self.draws.below(late));
                             self.letters.push((comes, at as u16, to, bytes.clone()));
                         }
                     }
@@ -214,14 +219,14 @@
         chosen.insert(host.sends()[0].2);
         let first = host.log.iter().find(|a| a.1 == Action::Watch(true)).expect("asks");
         assert!(first.0 < T0 + settings().rules.ask_within, "within the time to ask");
-        asked.insert(first.0 / (20 * MS));
+        asked.insert(first.0.as_millis() / 20);
     }
     assert!(asked.len() > 40, "calls in {} spans of 20 ms", asked.len());
     assert!(chosen.len() > 15, "{} nodes chosen", chosen.len());
 }
 
 /// How many requests a host sends in 20 s to a node whose answers take so long.
-fn sent_in_20_s(hosts: u32, took: u64) -> usize {
+fn sent_in_20_s(hosts: u32, took: Duration) -> usize {
     let mut host = Host::new(Settings { hosts, ..settings() });
     let (mut seen, mut id) = (0, 0);
     while host.now < T0 + 20 * S {
@@ -271,7 +276,7 @@
     let before = size(&host);
     for id in 1..500 {
         let node = id as NodeId + 1;
-        let now = T0 + 100 * MS * id;
+        let now = T0 + ms(100 * id);
         host.at(now, &[list(ListKind::Full, vec![line(node, 0)])]);
         host.at(now, &[Event::Request(Request { volume: id, plan: 0, ..request(id) })]);
         host.at(now + 40 * MS, &[outcome(id, 0, node, Ending::Served)]);
@@ -335,7 +340,7 @@
             host.at(host.now, &[outcome(id, 0, node, Ending::Void)]);
         }
     }
-    host.sends().iter().filter(|s| s.2 == 1).map(|s| s.0 / (100 * MS)).collect::<BTreeSet<_>>().len()
+    host.sends().iter().filter(|s| s.2 == 1).map(|s| s.0.as_millis() / 100).collect::<BTreeSet<_>>().len()
 }
 
 /// Hosts that want nothing of a cold node leave their turns unused: those that want few nodes share.
@@ -350,7 +355,7 @@
 /// crowd it yields at a round trip at which other work still leaves.
 #[test]
 fn late_work_yields_in_a_crowd_before_other_work() {
-    let sent = |patience_gone: u64| {
+    let sent = |patience_gone: Duration| {
         let mut host = Host::new(of_many(50, 0));
         host.at(T0, &[Event::Request(request(1))]);
         let Event::Attempt(answer) = outcome(1, 0, 1, Ending::Served) else { return 0 };
@@ -379,7 +384,7 @@
             while host.sends().len() < id as usize {
                 host.ring_until(host.now + 10 * MS);
             }
-            let Event::Attempt(answer) = outcome(id, 0, 1, *ending) else { return 0 };
+            let Event::Attempt(answer) = outcome(id, 0, 1, *ending) else { return Duration::ZERO };
             let load = Load { service_ms: Some(60.0), ..Load::default() };
             host.now += 2 * S;
             host.at(host.now, &[Event::Attempt(Attempt { took: 2 * S, over: true, load, ..answer })]);
@@ -397,19 +402,19 @@
         next_after(&[Served, TimedOut, TimedOut, TimedOut]),
         next_after(&[Served, TimedOut, TimedOut, TimedOut, Served]),
     );
-    assert!(thrice > once + S && healed < once, "{once}, {thrice}, {healed} ns");
+    assert!(thrice > once + S && healed < once, "{once:?}, {thrice:?}, {healed:?}");
 }
 
 /// The answer to a question for units counts once, and only while the home's store has not filled again.
 #[test]
 fn given_units_count_once_and_not_when_late() {
-    let sent_after = |late: u64, copies: usize| {
+    let sent_after = |late: Duration, copies: usize| {
         let mut host = Host::new(of_many(6, 0));
         let volume = (1..).find(|v| home_asked(*v)).expect("some volume has its home elsewhere");
         let ask = |id| Event::Request(Request { volume, plan: 0, hosts: 6.0, units: 3.0, ..request(id) });
         host.at(T0 + 1500 * MS, &[ask(1), ask(2), ask(3)]);
         host.at(T0 + 1520 * MS, &[outcome(1, 0, 1, Ending::Served)]);
-        let tell = |(_, a): &(u64, Action)| {
+        let tell = |(_, a): &(Duration, Action)| {
             if let Action::Tell { bytes, .. } = a {
                 Memo::parse(bytes)
             } else {
@@ -421,7 +426,10 @@
         let before = host.sends().len();
         for copy in 0..copies {
             let give = Memo::Give { volume, units: 3.0, number }.bytes();
-            host.at(T0 + 1520 * MS + late + copy as u64, &[Event::Told { from: 1, bytes: give }]);
+            host.at(
+                T0 + 1520 * MS + late + Duration::from_nanos(copy as u64),
+                &[Event::Told { from: 1, bytes: give }],
+            );
         }
         host.sends().len() - before
     };
