--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,7 +27,7 @@
 const REPEAT_COST: f64 = 0.5; // What a request costs a node that has just taken the same key.
 const RUN_ROOM: f64 = 3.0; // A run of one key may go on past the window by so many,
 const RUN_LOOK: usize = 64; // looked for among so many held.
-const UNSENT: f64 = 0.45; // One not sent in this part of its time is given up, while that is of use to know.
+const UNSENT: f64 = 0.49; // One not sent in this part of its time is given up, while that is of use to know.
 const OVERTAKEN: u32 = 3; // An attempt is missed once so many later ones came back before it,
 const MISSED_LAGS: (f64, f64) = (2.0, 6.0); // and it is so many round trips old; without, the second.
 
