--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,6 +51,7 @@
     holders: BTreeMap<u16, Vec<NodeId>>, // The ready nodes of each shard.
     strain: Part,                        // Of the requests that ended, those late or unserved.
     asked: BTreeMap<u16, Duration>,      // When each shard was last asked for.
+    longest: BTreeMap<u16, Duration>,    // The longest wait of a client, by class.
     lifted_at: Duration,
     lost: Rate,    // Missed attempts that never came, and those that did after all.
     taken: Recent, // Requests taken and further attempts, for the budget.
@@ -183,7 +184,12 @@
         if let Some(shard) = req.shard {
             self.asked.insert(shard, self.now);
         }
-        let aim_at = self.now.saturating_add(class.aim).min(due);
+        // A client that waits less long than others of its class has spent the rest on earlier tries: its aim
+        // counts from the first, and what passed then is late work now.
+        let longest = self.longest.entry(req.class).or_default();
+        *longest = req.patience.max(*longest);
+        let spent = *longest - req.patience;
+        let aim_at = self.now.saturating_add(class.aim.saturating_sub(spent)).min(due);
         let job = Job { came: self.now, aim_at, due, req: req.clone(), ..Job::default() };
         self.jobs.insert(req.id, job);
         self.shelve(req.id);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -372,6 +372,19 @@
     assert!(waits.iter().all(|w| (180 * MS..=900 * MS).contains(w)), "{waits:?}");
 }
 
+/// Found on the quiet day: clients told early came again, and their repeats, late whatever came, took the
+/// places of work that could be in time.
+#[test]
+fn a_repeat_whose_first_aim_is_past_yields_to_work_in_time() {
+    let mut host = Host::new(settings());
+    host.at(T0, &[Event::Request(request(1)), Event::Request(request(2))]);
+    let repeat = Request { patience: 2 * S, ..request(3) };
+    host.at(T0 + 10 * MS, &[Event::Request(repeat), Event::Request(request(4))]);
+    host.at(T0 + 40 * MS, &[outcome(1, 0, 1, Ending::Served)]);
+    let sent: Vec<RequestId> = host.sends().iter().map(|s| s.1).collect();
+    assert_eq!(sent, [1, 2, 4]);
+}
+
 #[test]
 fn what_is_out_for_a_client_that_left_is_called_off() {
     let mut host = Host::new(settings());
