Take SIGHUP: read the file again and move discovery's watch to where it says

Lines at fault: main.rs run() and run_nbd() installed SIGTERM's handler only; config::read let ROUTER_DISCOVERY go before the file, which holds at the start and is wrong later. Now: both signals are taken before serving; the new watch starts from the last revision beside the old one and ends it with its first line; a file that can't be used is one line. NBD reads its list of boxes again. The test in tests/cli.rs ends with signal 1 without the change.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,16 +4,18 @@
 use shaletack::broker::{Broker, Clock, Input};
 use shaletack::config::{self, Config};
 use shaletack::etcd;
-use shaletack::interface::Settings;
+use shaletack::interface::{ListKind, Settings};
+use shaletack::members::Members;
 use shaletack::nbd;
-use shaletack::net::{boxes, front, host, watch};
+use shaletack::net::host::{self, Host};
+use shaletack::net::{boxes, front, watch};
 use shaletack::operator::{self, Operator};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
 use std::process::ExitCode;
 use std::time::{Instant, SystemTime};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 const USAGE: &str = "\
 usage: shaletack [serve] [--config FILE]    serve the platform until SIGTERM (the default)
@@ -42,12 +44,12 @@
 fn main() -> ExitCode {
     let done = match command(lexopt::Parser::from_env()) {
         Ok(Command::Serve(Source::Platform(file))) => {
-            load(file).and_then(|config| actix_rt::System::new().block_on(run(config)))
+            load(file).and_then(|(config, file)| actix_rt::System::new().block_on(run(config, file)))
         }
         Ok(Command::Serve(Source::Operator(file))) => {
-            load_operator(&file).and_then(|o| actix_rt::System::new().block_on(run_nbd(o)))
+            load_operator(&file).and_then(|o| actix_rt::System::new().block_on(run_nbd(o, file)))
         }
-        Ok(Command::CheckConfig(Source::Platform(file))) => load(file).map(|config| {
+        Ok(Command::CheckConfig(Source::Platform(file))) => load(file).map(|(config, _)| {
             let (boxes, plans) = (config.known.entries.len(), config.settings.plans.len());
             println!("configuration of {} is sound: {boxes} boxes known, {plans} plans", config.name);
         }),
@@ -100,11 +102,17 @@
     }
 }
 
-fn load(file: Option<String>) -> Result<Config, String> {
+/// The file's name too, for later reading.
+fn load(file: Option<String>) -> Result<(Config, String), String> {
     let file = file.or_else(|| std::env::var("ROUTER_CONFIG").ok());
     let file = file.ok_or("no configuration: name a file, or set ROUTER_CONFIG")?;
-    let mut text = std::fs::read(&file).map_err(|e| format!("{file}: {e}"))?;
-    config::read(&mut text, |name| std::env::var(name).ok()).map_err(|fault| format!("{file}: {fault}"))
+    let config = read_config(&file, |name| std::env::var(name).ok())?;
+    Ok((config, file))
+}
+
+fn read_config(file: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let mut text = std::fs::read(file).map_err(|e| format!("{file}: {e}"))?;
+    config::read(&mut text, env).map_err(|fault| format!("{file}: {fault}"))
 }
 
 fn load_operator(file: &str) -> Result<Operator, String> {
@@ -112,19 +120,52 @@
     operator::read(&mut text).map_err(|fault| format!("{file}: {fault}"))
 }
 
-fn start(settings: Settings, seed: u64) -> host::Host {
+fn start(settings: Settings, seed: u64) -> Host {
     let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let now = Instant::now();
-    host::Host::start(Broker::new(settings, seed, Clock::new(now, unix), now))
+    Host::start(Broker::new(settings, seed, Clock::new(now, unix), now))
+}
+
+/// The signals that the program is told by. They are taken before anything is served: one that came
+/// earlier would end the process.
+fn signals() -> Result<(Signal, Signal), String> {
+    let taken = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+    Ok((taken(SignalKind::terminate())?, taken(SignalKind::hangup())?))
+}
+
+/// Reads a file again at each SIGHUP. One that can't be used is a line in the log; what was read before
+/// stays in force.
+async fn at_each<T>(mut hangup: Signal, read: impl Fn() -> Result<T, String>, mut put: impl FnMut(T)) {
+    while hangup.recv().await.is_some() {
+        match read() {
+            Ok(new) => put(new),
+            Err(fault) => host::log(&format!("the new configuration is not used: {fault}")),
+        }
+    }
 }
 
-async fn run_nbd(operator: Operator) -> Result<(), String> {
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+async fn run_nbd(operator: Operator, file: String) -> Result<(), String> {
+    let (mut term, hangup) = signals()?;
     let host = start(operator.settings.clone(), RandomState::new().build_hasher().finish());
     host.feed(Input::List(operator.boxes.clone()));
-    if let Some(etcd) = operator.etcd.clone() {
-        actix_rt::spawn(etcd::follow(host.clone(), etcd));
-    }
+    let follow = |host: Host, etcd| actix_rt::spawn(etcd::follow(host, etcd)).abort_handle();
+    let mut list = operator.etcd.clone();
+    let mut task = list.clone().map(|etcd| follow(host.clone(), etcd));
+    let core = host.clone();
+    // Of a new file the list of boxes counts at once, or where it is followed; clients' contracts and
+    // mounts stay as they are until the next start.
+    let put = move |new: Operator| {
+        host::log("the operator's file is read again: the list of boxes counts from now on");
+        if new.etcd.is_none() {
+            core.feed(Input::List(Members { kind: ListKind::Full, ..new.boxes }));
+        }
+        if new.etcd != list {
+            task.take().inspect(|task| task.abort());
+            task = new.etcd.clone().map(|etcd| follow(core.clone(), etcd));
+            list = new.etcd;
+        }
+    };
+    actix_rt::spawn(at_each(hangup, move || load_operator(&file), put));
     let listener =
         TcpListener::bind(operator.listen).await.map_err(|e| format!("{}: {e}", operator.listen))?;
     let place = listener.local_addr().map_err(|e| format!("{}: {e}", operator.listen))?;
@@ -136,14 +177,22 @@
     Ok(())
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, file: String) -> Result<(), String> {
     let Config { name, listen, discovery, seed, sockets, known, settings } = config;
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let (mut term, hangup) = signals()?;
     let host = start(settings.clone(), seed);
     let revision = known.revision;
     host::log(&format!("{name} starts: {} boxes known of revision {revision}", known.entries.len()));
     host.feed(Input::List(known));
-    actix_rt::spawn(watch::follow(host.clone(), discovery, revision));
+    let mut watch = watch::Watch::start(host.clone(), discovery, revision);
+    // The environment tells where discovery was at the start; from a new file on, the file does.
+    let unless_moved = |name: &str| (name != "ROUTER_DISCOVERY").then(|| std::env::var(name).ok())?;
+    let read = move || read_config(&file, unless_moved);
+    let put = move |new: Config| {
+        host::log(&format!("the configuration is read again: discovery is at {}", new.discovery));
+        watch.move_to(new.discovery);
+    };
+    actix_rt::spawn(at_each(hangup, read, put));
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
     host::log(&format!("{name} listens on {}", listener.local_addr().map_err(|e| format!("{listen}: {e}"))?));
     let rest = sockets.saturating_sub(SPARE_SOCKETS);
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -5,31 +5,83 @@
 use crate::broker::Input;
 use crate::members;
 use awc::{Client, Connector};
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::AbortHandle;
 
 /// Discovery sends at least an empty line every 2 s; several missed are a broken watch. What it has to tell
 /// counts as told 6 s after, so a new watch has to be up by then.
 const SILENT: Duration = Duration::from_secs(5);
-const FIRST_WAIT: Duration = Duration::from_millis(100);
-const LONGEST_WAIT: Duration = Duration::from_secs(2);
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+/// The agent is on this machine and answers at no cost; a new one's news counts 4 s after the signal.
+const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
-/// Follows the list from a revision on; never ends.
-pub async fn follow(host: Host, agent: SocketAddr, mut revision: u64) {
+/// A task that ends with its owner.
+struct Task(AbortHandle);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// The watch as the configuration now names it; it runs until this is dropped.
+pub struct Watch {
+    host: Host,
+    agent: SocketAddr,
+    revision: Rc<Cell<u64>>,
+    task: Option<Task>,
+}
+
+impl Watch {
+    /// Follows the list from a revision on.
+    pub fn start(host: Host, agent: SocketAddr, revision: u64) -> Self {
+        let mut watch = Watch { host, agent, revision: Rc::new(Cell::new(revision)), task: None };
+        watch.follow();
+        watch
+    }
+
+    /// Follows the list at another address from the last revision on. Until the new watch brings its first
+    /// line the old one goes on beside it, so that a wrong or slow address costs no news.
+    pub fn move_to(&mut self, agent: SocketAddr) {
+        if agent != self.agent {
+            log(&format!("discovery moves from {} to {agent}", self.agent));
+            self.agent = agent;
+            self.follow();
+        }
+    }
+
+    fn follow(&mut self) {
+        let (host, revision, replaced) = (self.host.clone(), self.revision.clone(), self.task.take());
+        let task = actix_rt::spawn(follow(host, self.agent, revision, replaced));
+        self.task = Some(Task(task.abort_handle()));
+    }
+}
+
+async fn follow(host: Host, agent: SocketAddr, revision: Rc<Cell<u64>>, mut replaced: Option<Task>) {
     let connector = Connector::new().timeout(Duration::from_secs(2)).conn_lifetime(Duration::MAX);
     let client = Client::builder().connector(connector).disable_redirects().disable_timeout().finish();
     let mut wait = FIRST_WAIT;
     loop {
-        let before = revision;
-        let why = watch_once(&host, &client, agent, &mut revision).await;
-        wait = if revision > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
-        log(&format!("watch ended at revision {revision} ({why}); again in {} ms", wait.as_millis()));
+        let before = revision.get();
+        let why = watch_once(&host, &client, agent, &revision, &mut replaced).await;
+        let at = revision.get();
+        wait = if at > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
+        log(&format!("watch of {agent} ended at revision {at} ({why}); again in {} ms", wait.as_millis()));
         tokio::time::sleep(wait).await;
     }
 }
 
-async fn watch_once(host: &Host, client: &Client, agent: SocketAddr, revision: &mut u64) -> String {
-    let url = format!("http://{agent}/catalog/members?stream=1&index={revision}");
+async fn watch_once(
+    host: &Host,
+    client: &Client,
+    agent: SocketAddr,
+    revision: &Cell<u64>,
+    replaced: &mut Option<Task>,
+) -> String {
+    let url = format!("http://{agent}/catalog/members?stream=1&index={}", revision.get());
     let response = match tokio::time::timeout(SILENT, client.get(url).send()).await {
         Ok(Ok(response)) if response.status().is_success() => response,
         Ok(Ok(response)) => return format!("answered {}", response.status()),
@@ -39,13 +91,17 @@
     let mut lines = Lines::new(response);
     loop {
         let mut line = match lines.next(SILENT).await {
-            Ok(line) if line.iter().all(u8::is_ascii_whitespace) => continue,
             Ok(line) => line,
             Err(why) => return why,
         };
+        if line.iter().all(u8::is_ascii_whitespace) {
+            drop(replaced.take());
+            continue;
+        }
         match members::read(&mut line) {
             Ok(members) => {
-                *revision = members.revision;
+                drop(replaced.take());
+                revision.set(members.revision);
                 host.feed(Input::List(members));
             }
             Err(fault) => return format!("unreadable: {fault}"),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,7 +1,7 @@
 //! The program as its users start it: sub-commands, a bad configuration, a planned stop.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::process::{Child, Command, Output, Stdio};
 
 fn shaletack(args: &[&str]) -> Command {
@@ -96,19 +96,63 @@
     }
 }
 
+impl Running {
+    /// Starts the program, and waits until it listens.
+    fn start(command: &mut Command) -> (Self, impl Iterator<Item = String>, String) {
+        let mut child = Running(command.spawn().unwrap());
+        let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
+        let line = lines.find(|l| l.contains("listens on ")).expect("it says where");
+        let address = line.rsplit(' ').next().unwrap().to_owned();
+        (child, lines, address)
+    }
+
+    fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.0.id().to_string()]).status().unwrap().success());
+    }
+}
+
+/// SIGHUP ended the process, which no handler waited for, and with it all that it had taken.
+#[test]
+fn a_hangup_moves_the_watch_to_where_the_new_file_says() {
+    let agents = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let places = agents.each_ref().map(|a| a.local_addr().unwrap().to_string());
+    let text = |agent: &str| {
+        config("127.0.0.1:0", "1").replace("\"127.0.0.1:9\",\"seed", &format!("\"{agent}\",\"seed"))
+    };
+    let path = file("moves.json", &text(&places[0]));
+    // The environment's word, right at the start, must not hold for a new file.
+    let mut command = shaletack(&["--config", &path]);
+    let (mut child, mut lines, _) = Running::start(command.env("ROUTER_DISCOVERY", &places[0]));
+    let watched = |agent: &TcpListener| {
+        let (mut stream, mut asked) = (agent.accept().unwrap().0, String::new());
+        BufReader::new(&stream).read_line(&mut asked).unwrap();
+        assert!(asked.contains("stream=1&index=41"), "{asked}");
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n").unwrap();
+        stream
+    };
+    let mut old = watched(&agents[0]);
+    file("moves.json", "{\"discovery\":");
+    child.signal("-HUP");
+    assert!(lines.any(|l| l.starts_with("the new configuration is not used: ")));
+    file("moves.json", &text(&places[1]));
+    child.signal("-HUP");
+    let _new = watched(&agents[1]);
+    // Where the new watch has spoken the old one ends.
+    assert_eq!(old.read_to_end(&mut Vec::new()).unwrap_or(0), 0);
+    child.signal("-TERM");
+    assert!(child.0.wait().unwrap().success());
+}
+
 #[test]
 fn a_planned_stop_ends_with_success() {
     let good = file("stop.json", &config("127.0.0.1:0", "1"));
-    let mut child = Running(shaletack(&["--config", &good]).spawn().unwrap());
-    let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
-    let line = lines.find(|l| l.contains("listens on ")).expect("it says where");
-    let address = line.rsplit(' ').next().unwrap();
+    let (mut child, mut lines, address) = Running::start(&mut shaletack(&["--config", &good]));
     let mut client = TcpStream::connect(address).unwrap();
     client.write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
     let mut status = [0; 12];
     client.read_exact(&mut status).unwrap();
     assert_eq!(&status, b"HTTP/1.1 200");
-    assert!(Command::new("kill").args(["-TERM", &child.0.id().to_string()]).status().unwrap().success());
+    child.signal("-TERM");
     assert!(child.0.wait().unwrap().success());
     assert!(lines.any(|l| l == "stopped: all that was taken is answered"));
 }
