Read one final answer from a box for each request, and none of what comes round it

Lines at fault: net/boxes.rs read() took any status but 200 for the end, which left the real answer on a connection that awc kept; awc's Framed drops what it read behind an answer, so that the rest of a second copy is the next request's answer; end_of() and read() called spoilt answers Broken, upon which choice.rs judge() ramps the box as after a restart, though its connection stood. Now: net/stream skips 1xx, ends an answer at its stated length and ends a connection that brings more; 2 ms pass before one is used again; spoilt and unbounded answers are errors of a box that lives; figures are bounded; a client an address, dropped when unused, since awc never closes idle connections of replaced boxes.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -212,6 +212,11 @@
         &self.tallies
     }
 
+    /// How many attempts ended in which way, by the end's name.
+    pub fn ends(&self) -> &BTreeMap<String, u64> {
+        &self.ends
+    }
+
     /// The one way in: takes what happened, and asks for what is to be done.
     pub fn step(&mut self, now: Instant, input: Input) -> Vec<Effect> {
         let at = self.clock.time(now);
--- a/src/ending.rs
+++ b/src/ending.rs
@@ -27,6 +27,8 @@
     HalfAnswer,
     /// The answer's end cannot be told from a break, or it is larger than an answer may be.
     UnboundedAnswer,
+    /// What came can't be read as an answer, or stopped on the way; the connection did not end.
+    SpoiltAnswer,
     /// Nothing came in time, and the connection was closed.
     Silent,
     /// The scheduler called it off, and the connection was closed.
@@ -40,10 +42,11 @@
     pub fn outcome(self) -> Ending {
         match self {
             End::Whole => Ending::Served,
-            End::BoxError | End::Strange => Ending::Error,
+            // A spoilt answer tells of a box that lives: it is not taken for one that has just restarted.
+            End::BoxError | End::Strange | End::UnboundedAnswer | End::SpoiltAnswer => Ending::Error,
             End::TurnedAway => Ending::TurnedAway,
             End::Unreachable | End::ConnectTimedOut | End::HandshakeFailed => Ending::NoConnection,
-            End::BrokeWriting | End::BrokeWaiting | End::HalfAnswer | End::UnboundedAnswer => Ending::Broken,
+            End::BrokeWriting | End::BrokeWaiting | End::HalfAnswer => Ending::Broken,
             End::Silent => Ending::TimedOut,
             End::CalledOff => Ending::Cancelled,
             End::NoAddress => Ending::Void,
--- a/src/main.rs
+++ b/src/main.rs
@@ -196,8 +196,8 @@
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
     host::log(&format!("{name} listens on {}", listener.local_addr().map_err(|e| format!("{listen}: {e}"))?));
     let rest = sockets.saturating_sub(SPARE_SOCKETS);
-    let client = boxes::client(&settings, rest / 3);
-    let front = front::Front { host, settings, client, most: rest - rest / 3 };
+    let boxes = boxes::Boxes::new(&settings, rest / 3);
+    let front = front::Front { host, settings, boxes, most: rest - rest / 3 };
     front::serve(front, listener, async move {
         term.recv().await;
     })
--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -1,40 +1,99 @@
 //! Attempts at disk boxes, over HTTP with awc.
 
 use super::host::Errand;
+use super::stream::BoxStream;
 use crate::broker::Reply;
 use crate::ending::End;
 use crate::interface::Settings;
+use actix_http::error::ParseError;
 use actix_http::{Method, StatusCode};
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError as TcpError, ConnectInfo, Connection};
 use awc::error::{ConnectError, SendRequestError};
+use awc::http::Uri;
 use awc::{Client, ClientResponse, Connector};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::future::{FutureExt, LocalBoxFuture};
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt};
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 
 /// The most that a request's or an answer's body may hold.
 pub const BODY_MOST: usize = 64 * 1024;
+/// A box's answer comes in one piece or nearly so; one that stops on the way so long is spoilt.
+const STALLED: Duration = Duration::from_millis(250);
+/// Before a connection is used again: what a box sends behind an answer has come by then, and shows.
+const SETTLES: Duration = Duration::from_millis(2);
+/// Above this no box tells the truth about use, in parts of a plan's rate, or about units served elsewhere.
+const USED_MOST: f64 = 1e4;
+const ELSEWHERE_MOST: f64 = 1e6;
 
-/// A client for attempts. Redirects would send a request once more by themselves, and awc's own time-out
-/// would end attempts that the core still waits for: both are off.
-pub fn client(set: &Settings, most: usize) -> Client {
-    // A connection idle for as long as the box keeps it would be closed under the next request.
-    let idle = set.keepalive * 6 / 10;
-    let connect = set.connect_timeout;
-    let connector = Connector::new()
-        .timeout(if connect.is_zero() { Duration::from_millis(250) } else { connect })
-        .conn_keep_alive(if idle.is_zero() { Duration::from_secs(5) } else { idle })
-        .conn_lifetime(Duration::from_secs(24 * 3600))
-        .max_http_version(actix_http::Version::HTTP_11)
-        .limit(most);
-    Client::builder().connector(connector).disable_redirects().disable_timeout().no_default_headers().finish()
+/// The connections to boxes: a client for each address. One unused for as long as its connections may be
+/// idle is dropped with them: boxes are replaced all day, and awc looks at idle ones only before their use.
+pub struct Boxes {
+    clients: RefCell<HashMap<SocketAddr, (Client, Instant)>>,
+    idle: Duration,
+    connect: Duration,
+    permits: Semaphore,
+}
+
+impl Boxes {
+    /// No more than `most` connections are in use at a time.
+    pub fn new(set: &Settings, most: usize) -> Rc<Self> {
+        let or = |span: Duration, default| if span.is_zero() { default } else { span };
+        Rc::new(Boxes {
+            clients: RefCell::default(),
+            // A connection idle for as long as the box keeps it would be closed under the next request.
+            idle: or(set.keepalive * 6 / 10, Duration::from_secs(5)),
+            connect: or(set.connect_timeout, Duration::from_millis(250)),
+            permits: Semaphore::new(most),
+        })
+    }
+
+    fn client(&self, to: SocketAddr) -> Client {
+        let (now, mut clients) = (Instant::now(), self.clients.borrow_mut());
+        clients.retain(|at, (_, used)| *at == to || now < *used + self.idle);
+        let (client, used) = clients.entry(to).or_insert_with(|| (self.build(), now));
+        *used = now;
+        client.clone()
+    }
+
+    /// Redirects would send a request once more by themselves, and awc's own time-out would end attempts
+    /// that the core still waits for: both are off.
+    fn build(&self) -> Client {
+        let connect = fn_service(|info: ConnectInfo<Uri>| async move {
+            let uri = info.request().clone();
+            let place = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
+            let socket =
+                TcpStream::connect(place.ok_or(TcpError::Unresolved)?).await.map_err(TcpError::Io)?;
+            let _ = socket.set_nodelay(true);
+            Ok::<_, TcpError>(Connection::new(uri, BoxStream::new(socket)))
+        });
+        let connector = Connector::new()
+            .connector(connect)
+            .timeout(self.connect)
+            .conn_keep_alive(self.idle)
+            .conn_lifetime(Duration::from_secs(24 * 3600))
+            .max_http_version(actix_http::Version::HTTP_11)
+            .limit(0);
+        Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .disable_timeout()
+            .no_default_headers()
+            .finish()
+    }
 }
 
 /// One request as it passes on to a box.
 pub struct Passed {
-    /// The client shared by all attempts.
-    pub client: Client,
+    /// The connections.
+    pub boxes: Rc<Boxes>,
     /// Its method.
     pub method: Method,
     /// Path and query, as they came.
@@ -47,16 +106,20 @@
 
 impl Errand for Passed {
     fn attempt(&self, to: SocketAddr, wait: Duration) -> LocalBoxFuture<'static, Reply> {
-        let request = self
-            .client
+        let boxes = self.boxes.clone();
+        let request = boxes
+            .client(to)
             .request(self.method.clone(), format!("http://{to}{}", self.target))
             .insert_header(("X-Trace-Id", self.trace.clone()))
             .insert_header(("X-Expires-In", format!("{:.3}", wait.as_secs_f64())));
-        let sent = match &self.body {
-            Some(body) => request.send_body(body.clone()),
-            None => request.send(),
-        };
+        let body = self.body.clone();
         async move {
+            // Never closed; each is given back when its attempt ends, by whatever.
+            let _permit = boxes.permits.acquire().await;
+            let sent = match body {
+                Some(body) => request.send_body(body),
+                None => request.send(),
+            };
             match sent.await {
                 Ok(response) => read(response).await,
                 Err(error) => Reply::none(end_of(&error)),
@@ -75,37 +138,50 @@
         SendRequestError::Connect(_) | SendRequestError::Url(_) => End::Unreachable,
         SendRequestError::Send(_) => End::BrokeWriting,
         SendRequestError::Timeout => End::Silent,
-        SendRequestError::Response(_) => End::HalfAnswer,
+        SendRequestError::Response(ParseError::Io(why)) if why.kind() != std::io::ErrorKind::InvalidData => {
+            End::BrokeWaiting
+        }
+        SendRequestError::Response(_) => End::SpoiltAnswer,
         _ => End::BrokeWaiting,
     }
 }
 
+/// A figure that can't be read, or can't be, is none: the scheduler would cut a volume by it for seconds. The
+/// answer that it came with is as good without.
+pub fn figure(text: Option<&str>, most: f64) -> Option<f64> {
+    text?.parse().ok().filter(|n| (0.0..=most).contains(n))
+}
+
 async fn read<S>(mut response: ClientResponse<S>) -> Reply
 where
-    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
-    let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
-    let number = |name: &str| header(name).and_then(|v| v.trim().parse::<f64>().ok());
-    let never_ran = header("X-Never-Ran").is_some_and(|v| v.trim() == "1");
-    let stated: Option<usize> = header("Content-Length").and_then(|v| v.trim().parse().ok());
-    let used = number("X-Iops-Used").map(|percent| percent / 100.0);
-    let elsewhere = number("X-Rho").unwrap_or(0.0);
-    let status = response.status();
-    let end = match status {
+    let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok()).map(str::trim);
+    let never_ran = header("X-Never-Ran") == Some("1");
+    let stated: Option<usize> = header("Content-Length").and_then(|v| v.parse().ok());
+    let used = figure(header("X-Iops-Used"), 100.0 * USED_MOST).map(|percent| percent / 100.0);
+    let elsewhere = figure(header("X-Rho"), ELSEWHERE_MOST).unwrap_or(0.0);
+    let end = match response.status() {
         StatusCode::OK => End::Whole,
         StatusCode::INTERNAL_SERVER_ERROR => End::BoxError,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => End::TurnedAway,
         _ => End::Strange,
     };
-    // awc ends a body that breaks off as if it were whole: only a stated length tells.
-    let body = response.body().limit(BODY_MOST).await;
-    let (end, body) = match (end, body, stated) {
-        (End::Whole, Ok(body), Some(length)) if body.len() == length => (End::Whole, body),
-        (End::Whole, Ok(_), Some(_)) => (End::HalfAnswer, Bytes::new()),
-        (End::Whole, Ok(_), None) => (End::UnboundedAnswer, Bytes::new()),
-        (End::Whole, Err(awc::error::PayloadError::Overflow), _) => (End::UnboundedAnswer, Bytes::new()),
-        (End::Whole, Err(_), _) => (End::HalfAnswer, Bytes::new()),
-        (end, _, _) => (end, Bytes::new()),
-    };
+    // Only a stated length tells a whole body: awc ends one that breaks off as if it were whole.
+    let Some(stated) = stated.filter(|n| *n <= BODY_MOST) else { return Reply::none(End::UnboundedAnswer) };
+    let mut body = BytesMut::with_capacity(stated);
+    while body.len() < stated {
+        match tokio::time::timeout(STALLED, response.next()).await {
+            Ok(Some(Ok(chunk))) => body.extend_from_slice(&chunk),
+            Ok(None) => return Reply::none(End::HalfAnswer),
+            Ok(Some(Err(_))) | Err(_) => return Reply::none(End::SpoiltAnswer),
+        }
+    }
+    // awc keeps the connection once its stream is read to the end.
+    actix_rt::spawn(async move {
+        tokio::time::sleep(SETTLES).await;
+        while response.next().await.is_some() {}
+    });
+    let body = if end == End::Whole { body.freeze() } else { Bytes::new() };
     Reply { end, body, used, elsewhere }
 }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,6 +1,6 @@
 //! The platform's front: HTTP/1.1 to clients, with actix-http.
 
-use super::boxes::{Passed, BODY_MOST};
+use super::boxes::{Boxes, Passed, BODY_MOST};
 use super::gate::{Closing, Gate};
 use super::host::{log, Host};
 use crate::broker::{Answer, Ask};
@@ -9,7 +9,6 @@
 use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use actix_service::{fn_service, Service, ServiceFactory};
-use awc::Client;
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, StreamExt};
 use std::convert::Infallible;
@@ -29,21 +28,21 @@
     /// What plans and classes there are.
     pub settings: Settings,
     /// For attempts at boxes.
-    pub client: Client,
+    pub boxes: Rc<Boxes>,
     /// The most client connections at a time.
     pub most: usize,
 }
 
 /// Serves until `stop` ends, and then what was taken.
 pub async fn serve(front: Front, listener: TcpListener, stop: impl std::future::Future<Output = ()>) {
-    let Front { host, settings, client, most } = front;
+    let Front { host, settings, boxes, most } = front;
     let closing = Closing::default();
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let gate = Gate { listener, host: host.clone(), most, sheds: true, longest, closing: closing.clone() };
     let settings = Rc::new(settings);
     let handler = fn_service(move |request: Request| {
-        let (host, settings, client) = (host.clone(), settings.clone(), client.clone());
-        async move { Ok::<_, Infallible>(handle(host, settings, client, request).await) }
+        let (host, settings, boxes) = (host.clone(), settings.clone(), boxes.clone());
+        async move { Ok::<_, Infallible>(handle(host, settings, boxes, request).await) }
     });
     // A client that closes its connection while its request is open has left: the service future is
     // dropped then, which half-closed connections would prevent.
@@ -63,7 +62,7 @@
 async fn handle(
     host: Host,
     settings: Rc<Settings>,
-    client: Client,
+    boxes: Rc<Boxes>,
     mut request: Request,
 ) -> Response<BoxBody> {
     if request.path() == "/_health" {
@@ -77,7 +76,7 @@
     let target = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
     // A GET has no body; an empty one would be passed on with a length it did not come with.
     let body = (!body.is_empty() || request.method() != Method::GET).then_some(body);
-    let errand = Passed { client, method: request.method().clone(), target, trace, body };
+    let errand = Passed { boxes, method: request.method().clone(), target, trace, body };
     match host.ask(ask, Rc::new(errand)).await {
         Answer::Served(body) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
         Answer::Refused(after) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,4 +6,5 @@
 pub mod gate;
 pub mod host;
 pub mod lines;
+pub mod stream;
 pub mod watch;
--- /dev/null
+++ b/src/net/stream.rs
@@ -0,0 +1,195 @@
+//! A connection to a box as awc reads it: one answer for each request, and not a byte more.
+//!
+//! awc takes a 1xx answer for the final one, and drops without a word what it read past an answer's end, so
+//! that the rest of it would be read as the next request's answer. Both are kept from it here.
+
+use actix_rt::net::{ActixStream, Ready};
+use bytes::{Buf, BytesMut};
+use httparse::{Response, Status, EMPTY_HEADER};
+use std::io;
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A head holds a few short lines; one that goes on and on is spoilt.
+const HEAD_MOST: usize = 16 * 1024;
+const HEADERS_MOST: usize = 96;
+/// Answers of the kind 1xx that may come before the final one.
+const INTERIM_MOST: u32 = 16;
+const CHUNK: usize = 8 * 1024;
+
+/// What is read at present.
+#[derive(Debug, PartialEq)]
+enum Reading {
+    /// Nothing is owed: whatever comes belongs to nobody.
+    Nothing,
+    /// An answer's head, after so many interim ones.
+    Head(u32),
+    /// So many bytes more, of head and body.
+    Answer(u64),
+    /// An answer whose length is not stated: all that comes.
+    All,
+    /// Something came that belongs to no request, or can't be read. There is no more to read here.
+    Spoilt,
+}
+
+/// One connection.
+#[derive(Debug)]
+pub struct BoxStream {
+    socket: TcpStream,
+    reading: Reading,
+    held: BytesMut,
+}
+
+impl BoxStream {
+    /// Past its connect.
+    pub fn new(socket: TcpStream) -> Self {
+        BoxStream { socket, reading: Reading::Nothing, held: BytesMut::new() }
+    }
+
+    /// More bytes into `held`; how many came.
+    fn poll_more(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        self.held.reserve(CHUNK);
+        tokio_util::io::poll_read_buf(Pin::new(&mut self.socket), cx, &mut self.held)
+    }
+
+    /// Reads as far as the final answer's head and says how many bytes the answer has.
+    fn poll_head(&mut self, cx: &mut Context<'_>, mut interim: u32) -> Poll<io::Result<Reading>> {
+        loop {
+            match head(&self.held) {
+                Some(Ok((status, length, _))) if status / 100 == 1 => {
+                    self.held.advance(length);
+                    interim += 1;
+                    self.reading = Reading::Head(interim);
+                    if interim > INTERIM_MOST {
+                        return Poll::Ready(Err(spoilt("no final answer")));
+                    }
+                }
+                Some(Ok((_, head, Some(body)))) => {
+                    return Poll::Ready(Ok(Reading::Answer(head as u64 + body)))
+                }
+                Some(Ok((_, _, None))) => return Poll::Ready(Ok(Reading::All)),
+                Some(Err(why)) => return Poll::Ready(Err(why)),
+                None if self.held.len() >= HEAD_MOST => {
+                    return Poll::Ready(Err(spoilt("a head without end")))
+                }
+                None => {
+                    if ready!(self.poll_more(cx))? == 0 {
+                        return Poll::Ready(Ok(Reading::All));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// The status, length and stated body length of a head; `None`: more bytes are needed.
+fn head(bytes: &[u8]) -> Option<io::Result<(u16, usize, Option<u64>)>> {
+    let mut headers = [EMPTY_HEADER; HEADERS_MOST];
+    let mut response = Response::new(&mut headers);
+    match response.parse(bytes) {
+        Ok(Status::Partial) => None,
+        Err(why) => Some(Err(spoilt(&why.to_string()))),
+        Ok(Status::Complete(length)) => {
+            let named = |name: &str| {
+                response.headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name)).collect::<Vec<_>>()
+            };
+            let stated = match named("Content-Length")[..] {
+                [] => Ok(None),
+                [one] => match std::str::from_utf8(one.value)
+                    .ok()
+                    .filter(|v| v.bytes().all(|b| b.is_ascii_digit()))
+                    .and_then(|v| v.parse().ok())
+                {
+                    Some(length) => Ok(Some(length)),
+                    None => Err(spoilt("a length that is no number")),
+                },
+                _ => Err(spoilt("two lengths")),
+            };
+            let chunked = !named("Transfer-Encoding").is_empty();
+            let interim = response.code.is_some_and(|code| code / 100 == 1);
+            let stated = match stated {
+                Ok(None) if !chunked && !interim => Err(spoilt("an answer without end")),
+                stated => stated,
+            };
+            Some(stated.map(|stated| (response.code.unwrap_or(0), length, stated.filter(|_| !chunked))))
+        }
+    }
+}
+
+/// Told from what the network does by its kind.
+fn spoilt(why: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, why.to_owned())
+}
+
+impl AsyncRead for BoxStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        if let Reading::Head(interim) = this.reading {
+            let found = ready!(this.poll_head(cx, interim));
+            this.reading = found.inspect_err(|_| this.reading = Reading::Spoilt)?;
+        }
+        let left = match this.reading {
+            Reading::Answer(left) => left,
+            Reading::All => u64::MAX,
+            // awc looks here whether an idle connection is quiet; for it an end is one that can't be used.
+            Reading::Nothing => {
+                let came = this.poll_more(cx);
+                this.held = BytesMut::new();
+                if came.is_ready() {
+                    this.reading = Reading::Spoilt;
+                }
+                return came.map(|_| Ok(()));
+            }
+            Reading::Head(_) | Reading::Spoilt => return Poll::Ready(Ok(())),
+        };
+        if this.held.is_empty() && ready!(this.poll_more(cx))? == 0 {
+            this.reading = Reading::Spoilt;
+            return Poll::Ready(Ok(()));
+        }
+        let count = this.held.len().min(out.remaining()).min(usize::try_from(left).unwrap_or(usize::MAX));
+        out.put_slice(&this.held[..count]);
+        this.held.advance(count);
+        if let Reading::Answer(left) = &mut this.reading {
+            *left -= count as u64;
+            if *left == 0 {
+                // What came with the answer and is no part of it is nobody's.
+                this.reading = if this.held.is_empty() { Reading::Nothing } else { Reading::Spoilt };
+                this.held = BytesMut::new();
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for BoxStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        if self.reading == Reading::Nothing {
+            self.reading = Reading::Head(0);
+        }
+        Pin::new(&mut self.socket).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for BoxStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.socket, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.socket, cx)
+    }
+}
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -359,8 +359,8 @@
     let (listener, address) = loopback().await;
     let (core, stop) = (host(&settings), Rc::new(Notify::new()));
     core.feed(Input::List(boxes));
-    let client = shaletack::net::boxes::client(&settings, 16);
-    let front = shaletack::net::front::Front { host: core.clone(), settings, client, most: 8 };
+    let boxes = shaletack::net::boxes::Boxes::new(&settings, 16);
+    let front = shaletack::net::front::Front { host: core.clone(), settings, boxes, most: 8 };
     let until = stop.clone();
     actix_rt::spawn(async move { shaletack::net::front::serve(front, listener, until.notified()).await });
     (address, stop, core)
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -5,7 +5,7 @@
 use shaletack::ending::End;
 use shaletack::interface::Ending;
 use shaletack::nbd::codec::{cmd, errno};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 
 #[test]
 fn a_request_and_its_answer_pass_unchanged() {
@@ -15,18 +15,21 @@
         let mut client = HttpClient::connect(front).await;
         assert_eq!(client.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").await.0, 200);
         let body: Vec<u8> = (0..60_000u32).map(|i| i as u8).collect();
-        for _ in 0..2 {
+        // Until a connection is used again, which takes a moment after its last answer.
+        let distinct = |seen: &Seen| seen.borrow().iter().map(|s| s.0).max().map_or(0, |most| most + 1);
+        while distinct(&boxed.seen) == boxed.seen.borrow().len() {
             let (status, _, got) = client.ask(&platform_request("PUT", "gravacao", 0, 2, &body)).await;
             assert_eq!((status, got.as_slice()), (200, &b"\0reading\xff"[..]));
         }
+        let asked = boxed.seen.borrow().len();
         assert_eq!(client.ask(&platform_request("GET", "leitura", 0, 2, b"")).await.0, 200);
-        for (number, head, got) in &boxed.seen.borrow()[..2] {
-            assert_eq!((*number, got), (0, &body), "one connection, used again");
+        for (_, head, got) in &boxed.seen.borrow()[..asked] {
+            assert_eq!(got, &body);
             assert!(head.starts_with("PUT /gravacao/7f3a9c21e0b4d655?a=%20b HTTP/1.1\r\n"), "{head}");
             assert_eq!(header(head, "x-trace-id").unwrap(), "9b1f03aa5c7e2d41");
             assert!(header(head, "x-expires-in").unwrap().parse::<f64>().unwrap() <= 1.5);
         }
-        assert_eq!((host.open(), host.look(|b| b.tallies()[1].1.units)), (0, 4.0));
+        assert_eq!((host.open(), host.look(|b| b.tallies()[1].1.units)), (0, 2.0 * asked as f64));
         // Nothing that can't be read as a request goes on to a box.
         for (bad, status) in [
             (platform_request("PUT", "gravacao", 0, 2, &[0; 65_537]), 413),
@@ -36,7 +39,7 @@
         ] {
             assert_eq!(HttpClient::connect(front).await.ask(&bad).await.0, status);
         }
-        assert_eq!(boxed.seen.borrow().len(), 3);
+        assert_eq!(boxed.seen.borrow().len(), asked + 1);
     });
 }
 
@@ -70,6 +73,88 @@
     });
 }
 
+/// awc takes a 103 for the answer and keeps the connection, on which the real one waits for the next request.
+/// It also drops what it has read behind an answer, and gives the next request the rest of it.
+#[test]
+fn each_request_gets_its_own_answer_whatever_the_box_sends_round_it() {
+    story(async {
+        let place = peer(|stream, number| async move {
+            let mut s = BufReader::new(stream);
+            for count in 0.. {
+                let Some((head, _)) = message(&mut s).await else { return };
+                let own = answer("200 OK", header(&head, "x-trace-id").unwrap().as_bytes(), 0);
+                let hint = &b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"[..];
+                let sent = match (number, count) {
+                    (0, 0) => [hint, hint, &own].concat(),
+                    // The second half of a copy would follow the next request on this connection.
+                    (0, 1) => [&own[..], &own[..own.len() / 2]].concat(),
+                    (0, _) => own[own.len() / 2..].to_vec(),
+                    (1, 0) => [&own[..], b"\0noise"].concat(),
+                    _ => own,
+                };
+                s.write_all(&sent).await.unwrap();
+            }
+        })
+        .await;
+        let (front, _, host) = http_front(&[(place, 0)]).await;
+        let mut client = HttpClient::connect(front).await;
+        for id in ["0a", "0b", "0c", "0d", "0e"] {
+            let request = String::from_utf8(platform_request("PUT", "gravacao", 0, 2, b"w")).unwrap();
+            let (status, _, body) = client.ask(request.replace("9b1f03aa5c7e2d41", id).as_bytes()).await;
+            assert_eq!((status, body.as_slice()), (200, id.as_bytes()));
+        }
+        assert_eq!(host.look(|b| b.tallies()[1].1.served), 5);
+    });
+}
+
+/// Spoilt answers came from boxes that went on: taken for restarts, they had little sent to them for seconds.
+#[test]
+fn a_spoilt_answer_is_a_failed_attempt_at_a_box_that_lives() {
+    story(async {
+        let endless = [b"HTTP/1.1 200 OK\r\n".to_vec(), b"X-More: and more\r\n".repeat(2000)].concat();
+        for (spoilt, end) in [
+            (b"\x16\x03\x01 nonsense\r\n\r\n".to_vec(), "SpoiltAnswer"),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nabcd".to_vec(), "SpoiltAnswer"),
+            (
+                b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nabcd".to_vec(),
+                "SpoiltAnswer",
+            ),
+            (b"HTTP/1.1 200 OK\r\n\r\nabcd".to_vec(), "SpoiltAnswer"),
+            (endless, "SpoiltAnswer"),
+            (answer("200 OK", b"half", 2), "SpoiltAnswer"),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabcd".to_vec(), "UnboundedAnswer"),
+        ] {
+            let text = String::from_utf8_lossy(&spoilt[..spoilt.len().min(60)]).into_owned();
+            let boxed = HttpBox::start(move |count, _| {
+                Some((if count == 0 { spoilt.clone() } else { answer("200 OK", b"whole", 0) }, false))
+            })
+            .await;
+            let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+            let mut client = HttpClient::connect(front).await;
+            let (status, _, body) = client.ask(&platform_request("PUT", "gravacao", 0, 2, b"w")).await;
+            assert_eq!((status, body.len()), (502, 0), "{text}");
+            assert_eq!(
+                client.ask(&platform_request("GET", "leitura", 0, 2, b"")).await.2,
+                b"whole",
+                "{text}"
+            );
+            let numbers: Vec<usize> = boxed.seen.borrow().iter().map(|s| s.0).collect();
+            assert_eq!(numbers, [0, 1], "never used again: {text}");
+            assert_eq!(host.look(|b| b.ends().keys().cloned().collect::<Vec<_>>()), [end, "Whole"], "{text}");
+        }
+        let lives = [End::SpoiltAnswer, End::UnboundedAnswer].map(End::outcome);
+        assert_eq!(lives, [Ending::Error; 2]);
+    });
+}
+
+#[test]
+fn a_figure_that_can_not_be_is_none() {
+    for bad in [None, Some(""), Some("NaN"), Some("inf"), Some("-3"), Some("1e300"), Some("12%")] {
+        assert_eq!(shaletack::net::boxes::figure(bad, 1e4), None, "{bad:?}");
+    }
+    assert_eq!(shaletack::net::boxes::figure(Some("12.5"), 1e4), Some(12.5));
+}
+
 #[test]
 fn a_write_that_provably_never_ran_goes_out_again() {
     story(async {
@@ -100,6 +185,7 @@
         BrokeWaiting,
         HalfAnswer,
         UnboundedAnswer,
+        SpoiltAnswer,
         Silent,
         CalledOff,
         NoAddress,
