Bound first byte, head, body and idle apart; turn away stolen ids and what is no request

Lines at fault: front.rs IDLE, one clock of 75 s for heads and idle and none for bodies; understand() passed any id, any finite size and any wait; gate.rs counted connections without a guard, so that a task that ended by a panic kept its place; shed() closed all idle ones. Ruled out: memory (6 of 48 MB), CPU (0.1 s in the worst second), actix-http on lengths (it turns away two lengths, a sign, both framings by itself; the story holds it to that). A body of 60 kB sent at once was cut by the head's bound until reads were bounded in size; the story has it. memory_mb of the limits is read now and bounds client connections.

--- a/src/config.rs
+++ b/src/config.rs
@@ -19,6 +19,8 @@
     pub seed: u64,
     /// How many file descriptors the process may hold.
     pub sockets: usize,
+    /// How much memory the process may hold, in MiB; 0: not stated.
+    pub memory_mb: u64,
     /// The list of disk boxes as last had, perhaps old.
     pub known: Members,
     /// The scheduler's settings.
@@ -54,6 +56,7 @@
         listen: address("listen", "ROUTER_LISTEN")?,
         discovery: address("discovery", "ROUTER_DISCOVERY")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: '{seed}' is not 16 hex digits"))?,
+        memory_mb: top.at("limits").at("memory_mb").whole()?,
         sockets: if sockets == 0 { 1024 } else { sockets },
         known,
         settings,
--- a/src/main.rs
+++ b/src/main.rs
@@ -28,6 +28,11 @@
 /// Descriptors kept for what is neither a client's nor a box's connection.
 const SPARE_SOCKETS: usize = 32;
 
+/// What the process needs with no client at all, in MiB.
+const BASE_MB: u64 = 8;
+/// The most that one client's connection holds: a whole body, and the buffers round it.
+const CONNECTION_BYTES: u64 = 128 << 10;
+
 /// Which front, and the file that sets it up.
 enum Source {
     Platform(Option<String>),
@@ -178,7 +183,7 @@
 }
 
 async fn run(config: Config, file: String) -> Result<(), String> {
-    let Config { name, listen, discovery, seed, sockets, known, settings } = config;
+    let Config { name, listen, discovery, seed, sockets, memory_mb, known, settings } = config;
     let (mut term, hangup) = signals()?;
     let host = start(settings.clone(), seed);
     let revision = known.revision;
@@ -196,8 +201,13 @@
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
     host::log(&format!("{name} listens on {}", listener.local_addr().map_err(|e| format!("{listen}: {e}"))?));
     let rest = sockets.saturating_sub(SPARE_SOCKETS);
-    let boxes = boxes::Boxes::new(&settings, rest / 3);
-    let front = front::Front { host, settings, boxes, most: rest - rest / 3 };
+    let boxes = boxes::Boxes::new(&settings, rest / 4);
+    // Where memory is short there is room for fewer connections than descriptors.
+    let room = match memory_mb {
+        0 => usize::MAX,
+        mb => ((mb.saturating_sub(BASE_MB) << 20) / CONNECTION_BYTES).max(16) as usize,
+    };
+    let front = front::Front { host, settings, boxes, most: (rest - rest / 4).min(room) };
     front::serve(front, listener, async move {
         term.recv().await;
     })
--- /dev/null
+++ b/src/net/crowd.rs
@@ -0,0 +1,233 @@
+//! Client connections: what each is at and for how long, and when one is ended for the others' sake.
+//!
+//! actix-http has one clock for a connection's first head, one for an idle connection and none for a body;
+//! it reads up to 128 KiB of a head, and as much again of requests sent ahead. Here each has its own bound.
+
+use super::host::log;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Connections are looked at so often.
+const LOOK: Duration = Duration::from_millis(50);
+/// A client that connects has something to ask: its first byte comes within this.
+const FIRST_BYTE: Duration = Duration::from_secs(2);
+/// A whole request, head and body, comes within this of its first byte; a connection's first one within
+/// this of the connect, since half a request is owed an end within 3 s of that.
+const WHOLE_REQUEST: Duration = Duration::from_millis(2300);
+/// A connection on which nothing was asked for so long may go, and goes where places run short.
+const IDLE: Duration = Duration::from_millis(2100);
+/// Else it may wait longer.
+const IDLE_QUIET: Duration = Duration::from_secs(20);
+/// Where no place is left, others wait unheard: those that are silent, slow or idle have only so long. An
+/// ordinary request comes at once and in one piece.
+const FULL: (Duration, Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(400), Duration::from_secs(1));
+/// A head, with what of its body is read along with it.
+const HEAD_MOST: usize = 32 * 1024;
+/// Bytes read of requests sent ahead of an answer; more wait in the socket.
+const AHEAD_MOST: usize = 16 * 1024;
+/// Bytes read at one go; a client that sends at full speed must not keep others waiting.
+const AT_ONCE: usize = 16 * 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// Nothing has come yet.
+    Fresh,
+    /// A request has begun to come.
+    Head,
+    /// Its head is whole.
+    Body,
+    /// It is with the core.
+    Taken,
+    /// Every request is answered.
+    Idle,
+    /// It ends; what still comes is read and dropped, so that the last answer is not lost by a reset.
+    Leaving,
+}
+
+/// One client's connection.
+#[derive(Debug)]
+pub struct Line {
+    stage: Cell<Stage>,
+    since: Cell<Instant>,
+    /// Bytes of the head that is coming, or sent ahead of an answer.
+    bytes: Cell<usize>,
+    reader: RefCell<Option<Waker>>,
+    cut: Notify,
+}
+
+impl Line {
+    fn put(&self, stage: Stage) {
+        // One clock bounds head and body; a connection's first request counts from the connect.
+        if !matches!((self.stage.get(), stage), (Stage::Fresh, Stage::Head) | (Stage::Head, Stage::Body)) {
+            self.since.set(Instant::now());
+        }
+        self.stage.set(stage);
+        self.bytes.set(0);
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+
+    /// A request's head is whole; its body may be still to come.
+    pub fn has_head(&self) {
+        self.put(Stage::Body);
+    }
+
+    /// The request is whole, and answered in its own time.
+    pub fn is_taken(&self) {
+        self.put(Stage::Taken);
+    }
+
+    /// Its last answer is on the way out.
+    pub fn leaves(&self) {
+        self.put(Stage::Leaving);
+    }
+
+    /// Its answer is on the way out; what was sent ahead comes next.
+    pub fn is_answered(&self) {
+        if self.stage.get() == Stage::Leaving {
+            return;
+        }
+        let ahead = self.stage.get() == Stage::Taken && self.bytes.get() > 0;
+        self.put(if ahead { Stage::Head } else { Stage::Idle });
+    }
+
+    /// Ends when the connection is to be closed.
+    pub async fn cut(&self) {
+        self.cut.notified().await;
+    }
+
+    fn is_over(&self, now: Instant, crowded: bool, full: bool) -> bool {
+        let most = match self.stage.get() {
+            Stage::Fresh if full => FULL.0,
+            Stage::Fresh => FIRST_BYTE,
+            Stage::Head | Stage::Body | Stage::Leaving if full => FULL.1,
+            Stage::Head | Stage::Body => WHOLE_REQUEST,
+            Stage::Idle if full => FULL.2,
+            Stage::Idle if crowded => IDLE,
+            Stage::Leaving => IDLE,
+            Stage::Idle => IDLE_QUIET,
+            Stage::Taken => return false,
+        };
+        now.saturating_duration_since(self.since.get()) > most
+    }
+}
+
+/// All connections of a front.
+#[derive(Clone, Default)]
+pub struct Crowd(Rc<RefCell<Vec<Weak<Line>>>>);
+
+impl Crowd {
+    /// A connection that was just accepted.
+    pub fn join(&self) -> Rc<Line> {
+        let line = Rc::new(Line {
+            stage: Cell::new(Stage::Fresh),
+            since: Cell::new(Instant::now()),
+            bytes: Cell::new(0),
+            reader: RefCell::new(None),
+            cut: Notify::new(),
+        });
+        self.0.borrow_mut().push(Rc::downgrade(&line));
+        line
+    }
+
+    /// Ends connections whose time is over, for as long as the front serves; `most` are let in.
+    pub async fn keep(self, most: usize) {
+        let mut told = None;
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let now = Instant::now();
+            let mut lines = self.0.borrow_mut();
+            lines.retain(|line| line.strong_count() > 0);
+            let (open, full) = (lines.len(), lines.len() >= most);
+            let over =
+                lines.iter().filter_map(Weak::upgrade).filter(|l| l.is_over(now, open * 2 >= most, full));
+            let cut = over.map(|line| line.cut.notify_one()).count();
+            if full && told.is_none_or(|at| now > at + Duration::from_secs(1)) {
+                log(&format!("{open} connections are open, the most there may be: {cut} silent or idle ones are closed"));
+                told = Some(now);
+            }
+        }
+    }
+}
+
+/// A client's connection as actix-http reads it.
+pub struct ClientStream {
+    socket: TcpStream,
+    line: Rc<Line>,
+    at_once: usize,
+}
+
+impl ClientStream {
+    /// The connection of that line.
+    pub fn new(socket: TcpStream, line: Rc<Line>) -> Self {
+        ClientStream { socket, line, at_once: 0 }
+    }
+
+    /// Its line.
+    pub fn line(&self) -> Rc<Line> {
+        self.line.clone()
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        let line = &this.line;
+        if this.at_once >= AT_ONCE {
+            this.at_once = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        if line.stage.get() == Stage::Taken && line.bytes.get() >= AHEAD_MOST {
+            line.reader.replace(Some(cx.waker().clone()));
+            this.at_once = 0;
+            return Poll::Pending;
+        }
+        // The buffer may have room for far more than its reader is meant to hold.
+        let room = out.remaining().min(AT_ONCE - this.at_once);
+        let mut part = ReadBuf::new(out.initialize_unfilled_to(room));
+        let Poll::Ready(read) = Pin::new(&mut this.socket).poll_read(cx, &mut part) else {
+            this.at_once = 0;
+            return Poll::Pending;
+        };
+        read?;
+        let count = part.filled().len();
+        out.advance(count);
+        if count > 0 && matches!(line.stage.get(), Stage::Fresh | Stage::Idle) {
+            line.put(Stage::Head);
+        }
+        this.at_once += count;
+        line.bytes.set(line.bytes.get() + count);
+        if line.stage.get() == Stage::Head && line.bytes.get() > HEAD_MOST {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "a head without end")));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,26 +1,26 @@
 //! The platform's front: HTTP/1.1 to clients, with actix-http.
 
 use super::boxes::{Boxes, Passed, BODY_MOST};
+use super::crowd::{ClientStream, Crowd, Line};
 use super::gate::{Closing, Gate};
 use super::host::{log, Host};
 use crate::broker::{Answer, Ask};
 use crate::interface::{Settings, VolumeId};
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
-use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
+use actix_http::{Extensions, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use actix_service::{fn_service, Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
-use futures_util::{FutureExt, StreamExt};
+use futures_util::StreamExt;
+use std::cell::RefCell;
+use std::collections::{HashSet, VecDeque};
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
 
-/// A client that opens a connection may leave it unused for so long; actix-http's 5 s would cut off
-/// clients that keep connections in store.
-const IDLE: Duration = Duration::from_secs(75);
 /// After the last byte of a closing answer a client has so long to take it.
-const LINGER: Duration = Duration::from_secs(1);
+const LINGER: Duration = Duration::from_millis(500);
 /// What the front needs to serve.
 pub struct Front {
     /// The core.
@@ -38,61 +38,137 @@
     let Front { host, settings, boxes, most } = front;
     let closing = Closing::default();
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-    let gate = Gate { listener, host: host.clone(), most, sheds: true, longest, closing: closing.clone() };
-    let settings = Rc::new(settings);
+    let gate = Gate { listener, host: host.clone(), most, longest, closing: closing.clone() };
+    let open = Rc::new(Open { host, settings, boxes, longest, traces: RefCell::default() });
     let handler = fn_service(move |request: Request| {
-        let (host, settings, boxes) = (host.clone(), settings.clone(), boxes.clone());
-        async move { Ok::<_, Infallible>(handle(host, settings, boxes, request).await) }
+        let open = open.clone();
+        async move { Ok::<_, Infallible>(open.handle(request).await) }
     });
     // A client that closes its connection while its request is open has left: the service future is
     // dropped then, which half-closed connections would prevent.
-    let http = HttpService::<TcpStream, _, BoxBody>::build()
-        .keep_alive(KeepAlive::Timeout(IDLE))
-        .client_request_timeout(IDLE)
+    // How long a connection may wait for what is in `crowd`.
+    let http = HttpService::<ClientStream, _, BoxBody>::build()
+        .keep_alive(KeepAlive::Os)
+        .client_request_timeout(Duration::ZERO)
+        .on_connect_ext(|stream: &ClientStream, data: &mut Extensions| {
+            data.insert(stream.line());
+        })
         .client_disconnect_timeout(LINGER)
         .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || closing.clone().told())
         .h1(handler);
     let Ok(http) = http.new_service(()).await else { return log("the front could not be set up") };
+    let crowd = Crowd::default();
+    let keeper = actix_rt::spawn(crowd.clone().keep(most));
     // How a client's connection ends is the client's affair; its request knows by being dropped.
-    let serve = |stream| http.call((stream, None)).map(|_| ());
+    let serve = |stream| {
+        let line = crowd.join();
+        let served = http.call((ClientStream::new(stream, line.clone()), None));
+        async move {
+            tokio::select! {
+                _ = served => {}
+                () = line.cut() => {}
+            }
+        }
+    };
     gate.serve(stop, serve).await;
+    keeper.abort();
 }
 
-async fn handle(
+/// What all requests share.
+struct Open {
     host: Host,
-    settings: Rc<Settings>,
+    settings: Settings,
     boxes: Rc<Boxes>,
-    mut request: Request,
-) -> Response<BoxBody> {
-    if request.path() == "/_health" {
-        return plain(if host.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+    longest: Duration,
+    traces: RefCell<Traces>,
+}
+
+/// The ids of requests, from the time that each was taken and for as long as any can be open. Each request
+/// has its own: a second one under it would be taken for the first by a box.
+#[derive(Default)]
+struct Traces {
+    taken: HashSet<String>,
+    order: VecDeque<(Instant, String)>,
+}
+
+impl Traces {
+    fn take(&mut self, id: &str, longest: Duration) -> bool {
+        let now = Instant::now();
+        while self.order.front().is_some_and(|(at, _)| now > *at + 2 * longest) {
+            if let Some((_, old)) = self.order.pop_front() {
+                self.taken.remove(&old);
+            }
+        }
+        let fresh = self.taken.insert(id.to_owned());
+        if fresh {
+            self.order.push_back((now, id.to_owned()));
+        }
+        fresh
     }
-    let body = match whole_body(&mut request).await {
-        Ok(body) => body,
-        Err(status) => return plain(status),
-    };
-    let Some((ask, trace)) = understand(&request, &settings) else { return plain(StatusCode::BAD_REQUEST) };
-    let target = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
-    // A GET has no body; an empty one would be passed on with a length it did not come with.
-    let body = (!body.is_empty() || request.method() != Method::GET).then_some(body);
-    let errand = Passed { boxes, method: request.method().clone(), target, trace, body };
-    match host.ask(ask, Rc::new(errand)).await {
-        Answer::Served(body) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
-        Answer::Refused(after) => {
-            let mut refusal = Response::build(StatusCode::SERVICE_UNAVAILABLE);
-            refusal.insert_header(("Retry-After", format!("{:.3}", after.as_secs_f64())));
-            refusal.body(()).map_into_boxed_body()
+}
+
+/// Tells a connection's line that its request is over, also where the client left.
+struct Answered(Rc<Line>);
+
+impl Drop for Answered {
+    fn drop(&mut self) {
+        self.0.is_answered();
+    }
+}
+
+impl Open {
+    async fn handle(&self, mut request: Request) -> Response<BoxBody> {
+        let line = request.conn_data::<Rc<Line>>().cloned();
+        let line = Answered(line.expect("every connection has its line"));
+        line.0.has_head();
+        if request.path() == "/_health" {
+            let ready = self.host.is_ready();
+            return Response::new(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+        }
+        let body = match whole_body(&mut request).await {
+            Ok(body) => body,
+            Err(status) => return turned_away(&line.0, status),
+        };
+        if request.method() == Method::GET && !body.is_empty() {
+            return turned_away(&line.0, StatusCode::BAD_REQUEST);
+        }
+        let Some((ask, trace)) = understand(&request, &self.settings) else {
+            return turned_away(&line.0, StatusCode::BAD_REQUEST);
+        };
+        if !self.traces.borrow_mut().take(&trace, self.longest) {
+            return turned_away(&line.0, StatusCode::CONFLICT);
+        }
+        let target = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
+        // A GET has no body; an empty one would be passed on with a length it did not come with.
+        let body = (request.method() != Method::GET).then_some(body);
+        let (boxes, method) = (self.boxes.clone(), request.method().clone());
+        let errand = Passed { boxes, method, target, trace: trace.clone(), body };
+        line.0.is_taken();
+        match self.host.ask(ask, Rc::new(errand)).await {
+            Answer::Served(body) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
+            Answer::Refused(after) => {
+                let mut refusal = Response::build(StatusCode::SERVICE_UNAVAILABLE);
+                refusal.insert_header(("Retry-After", format!("{:.3}", after.as_secs_f64())));
+                refusal.body(()).map_into_boxed_body()
+            }
+            Answer::Failed => Response::new(StatusCode::BAD_GATEWAY),
         }
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY),
     }
 }
 
-fn plain(status: StatusCode) -> Response<BoxBody> {
-    Response::new(status)
+/// The answer to what is no request. The connection ends with it: its client would send more of the kind, and
+/// of a body that is too large or spoilt the rest would be taken for requests.
+fn turned_away(line: &Line, status: StatusCode) -> Response<BoxBody> {
+    line.leaves();
+    Response::build(status).force_close().body(()).map_into_boxed_body()
 }
 
 async fn whole_body(request: &mut Request) -> Result<Bytes, StatusCode> {
+    let stated = text(request.headers(), "Content-Length").and_then(|v| v.parse::<u64>().ok());
+    if stated.is_some_and(|length| length > BODY_MOST as u64) {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
@@ -108,6 +184,9 @@
 /// The request in the core's terms, and its trace id; `None` where it is malformed.
 fn understand(request: &Request, settings: &Settings) -> Option<(Ask, String)> {
     let headers = request.headers();
+    if ![Method::GET, Method::PUT].contains(request.method()) {
+        return None;
+    }
     let path = request.path().strip_prefix('/')?;
     let (class, key) = (path.split('/').next()?, path.rsplit('/').next()?);
     let plan = text(headers, "X-Qos-Policy")?;
@@ -115,23 +194,34 @@
     let placed = |name: &str| {
         place.split(',').find_map(|part| part.trim().strip_prefix(name)?.strip_prefix('=')).map(str::trim)
     };
-    let patience: f64 = text(headers, "X-Expires-In")?.parse().ok()?;
+    let class = settings.classes.iter().position(|c| c.name == class)?;
+    let patience = number(text(headers, "X-Expires-In")?).filter(|wait| *wait < 86400.0)?;
+    // No client of the class waits longer; the scheduler would take those who do not for late repeats.
+    let (patience, longest) = (Duration::from_secs_f64(patience), settings.classes[class].deadline);
+    let patience = if longest.is_zero() { patience } else { patience.min(longest) };
     let shard: i64 = placed("shard")?.parse().ok()?;
-    let units: f64 = placed("units")?.parse().ok()?;
-    let hosts: f64 = placed("hosts")?.parse().ok()?;
-    let sound = (0.0..86400.0).contains(&patience) && units.is_finite() && units >= 0.0 && hosts.is_finite();
+    let units = number(placed("units")?)?;
+    let hosts = number(placed("hosts")?)?;
+    let fits = units > 0.0 && (settings.units_top <= 0.0 || units <= settings.units_top);
     let ask = Ask {
-        class: settings.classes.iter().position(|c| c.name == class)? as u16,
+        class: class as u16,
         volume: hex(placed("volume")?)?,
         plan: settings.plans.iter().position(|p| p.name == plan)? as u16,
-        hosts,
+        hosts: Some(hosts).filter(|hosts| fits && (1.0..=65536.0).contains(hosts))?,
         key: hex(key)?,
-        shard: if shard < 0 { None } else { Some(u16::try_from(shard).ok()?) },
+        shard: if shard == -1 { None } else { Some(u16::try_from(shard).ok()?) },
         units,
-        patience: Duration::from_secs_f64(if sound { patience } else { return None }),
+        patience,
         repeat: text(headers, "X-Second-Try").is_some_and(|v| v == "1"),
     };
-    Some((ask, text(headers, "X-Trace-Id").filter(|id| !id.is_empty())?.to_owned()))
+    let id = text(headers, "X-Trace-Id")?;
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
+    ((1..=64).contains(&id.len()) && id.bytes().all(plain)).then(|| (ask, id.to_owned()))
+}
+
+/// Digits with or without decimals: no sign, exponent, infinity or NaN.
+fn number(text: &str) -> Option<f64> {
+    text.bytes().all(|b| b.is_ascii_digit() || b == b'.').then(|| text.parse().ok())?
 }
 
 fn hex(digits: &str) -> Option<VolumeId> {
@@ -143,6 +233,9 @@
     }
 }
 
+/// The value of a header that comes once.
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok().map(str::trim)
+    let mut all = headers.get_all(name);
+    let one = all.next()?;
+    all.next().is_none().then(|| one.to_str().ok().map(str::trim))?
 }
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -29,11 +29,6 @@
         }
     }
 
-    /// Those that are open now are to close; later ones stay.
-    fn shed(&self) {
-        self.0 .1.notify_waiters();
-    }
-
     fn tell(&self) {
         self.0 .0.set(true);
         self.0 .1.notify_waiters();
@@ -48,8 +43,6 @@
     pub host: Host,
     /// The most connections at a time; more wait in the backlog.
     pub most: usize,
-    /// At that many, those no request is on are closed: their clients keep more than they use.
-    pub sheds: bool,
     /// The longest that any request may be open.
     pub longest: Duration,
     /// Tells this front's connections to close.
@@ -61,6 +54,16 @@
     fell: Notify,
 }
 
+/// One connection's place; given back however its task ends.
+struct Place(Rc<Count>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.fell.notify_waiters();
+    }
+}
+
 impl Count {
     async fn below(&self, most: usize) {
         while self.open.get() >= most {
@@ -77,27 +80,22 @@
         stop: impl Future<Output = ()>,
         serve: impl Fn(TcpStream) -> F,
     ) {
-        let Gate { listener, host, most, sheds, longest, closing } = self;
+        let Gate { listener, host, most, longest, closing } = self;
         let count = Rc::new(Count { open: Cell::new(0), fell: Notify::new() });
         let start = |stream: TcpStream| {
             // Answers are small; waiting to fill a segment would make them late.
             let _ = stream.set_nodelay(true);
-            let (connection, count) = (serve(stream), count.clone());
             count.open.set(count.open.get() + 1);
+            let (connection, place) = (serve(stream), Place(count.clone()));
             actix_rt::spawn(async move {
                 connection.await;
-                count.open.set(count.open.get() - 1);
-                count.fell.notify_waiters();
+                drop(place);
             });
         };
         let mut stop = std::pin::pin!(stop);
         let mut stopped_at: Option<Instant> = None;
         loop {
             let accepted = async {
-                if sheds && count.open.get() >= most {
-                    log(&format!("{most} connections are open: idle ones are closed"));
-                    closing.shed();
-                }
                 count.below(most).await;
                 listener.accept().await
             };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! core asks for. Nothing is decided here.
 
 pub mod boxes;
+pub mod crowd;
 pub mod front;
 pub mod gate;
 pub mod host;
