--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -6,7 +6,9 @@
 use actix_rt::net::{ActixStream, Ready};
 use bytes::{Buf, BytesMut};
 use httparse::{Response, Status, EMPTY_HEADER};
+use socket2::SockRef;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -137,14 +139,16 @@
         let left = match this.reading {
             Reading::Answer(left) => left,
             Reading::All => u64::MAX,
-            // awc looks here whether an idle connection is quiet; for it an end is one that can't be used.
+            // awc looks here whether an idle connection is quiet; for it an end is one that can't be used. The
+            // system is asked: what tokio knows of the socket is as old as its last look at all of them.
             Reading::Nothing => {
-                let came = this.poll_more(cx);
-                this.held = BytesMut::new();
-                if came.is_ready() {
-                    this.reading = Reading::Spoilt;
-                }
-                return came.map(|_| Ok(()));
+                return match SockRef::from(&this.socket).peek(&mut [MaybeUninit::uninit()]) {
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
+                    _ => {
+                        this.reading = Reading::Spoilt;
+                        Poll::Ready(Ok(()))
+                    }
+                };
             }
             Reading::Head(_) | Reading::Spoilt => return Poll::Ready(Ok(())),
         };
