Learn from resets how long box connections may be idle and still be used

Line at fault: net/boxes.rs conn_keep_alive 0.6 of the settings' 15 s, while the way there forgets at 0.1 s. Ruled out: boxes that close when idle (the peek before use sees those; 831 closed, none written to but these); a limit for each box from its first reset (635 -> 415 only: longer rests had been fine there, by chance); resets of new connections (0 of 1,544). Now: requests and resets are counted by the length of the rest, over all boxes; from a span on in which a fifth or more were reset, three at least, connections are not used; what was seen counts half after 30 s.

--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -1,7 +1,7 @@
 //! Attempts at disk boxes, over HTTP with awc.
 
 use super::host::Errand;
-use super::stream::BoxStream;
+use super::stream::{BoxStream, Idling};
 use crate::broker::Reply;
 use crate::ending::End;
 use crate::interface::Settings;
@@ -38,6 +38,7 @@
 pub struct Boxes {
     clients: RefCell<HashMap<SocketAddr, (Client, Instant)>>,
     idle: Duration,
+    idling: Rc<Idling>,
     connect: Duration,
     permits: Semaphore,
 }
@@ -46,10 +47,12 @@
     /// No more than `most` connections are in use at a time.
     pub fn new(set: &Settings, most: usize) -> Rc<Self> {
         let or = |span: Duration, default| if span.is_zero() { default } else { span };
+        // A connection idle for as long as the box keeps it would be closed under the next request.
+        let idle = or(set.keepalive * 6 / 10, Duration::from_secs(5));
         Rc::new(Boxes {
             clients: RefCell::default(),
-            // A connection idle for as long as the box keeps it would be closed under the next request.
-            idle: or(set.keepalive * 6 / 10, Duration::from_secs(5)),
+            idle,
+            idling: Rc::new(Idling::new(idle)),
             connect: or(set.connect_timeout, Duration::from_millis(250)),
             permits: Semaphore::new(most),
         })
@@ -66,13 +69,17 @@
     /// Redirects would send a request once more by themselves, and awc's own time-out would end attempts
     /// that the core still waits for: both are off.
     fn build(&self) -> Client {
-        let connect = fn_service(|info: ConnectInfo<Uri>| async move {
-            let uri = info.request().clone();
-            let place = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
-            let socket =
-                TcpStream::connect(place.ok_or(TcpError::Unresolved)?).await.map_err(TcpError::Io)?;
-            let _ = socket.set_nodelay(true);
-            Ok::<_, TcpError>(Connection::new(uri, BoxStream::new(socket)))
+        let idling = self.idling.clone();
+        let connect = fn_service(move |info: ConnectInfo<Uri>| {
+            let idling = idling.clone();
+            async move {
+                let uri = info.request().clone();
+                let place = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
+                let socket =
+                    TcpStream::connect(place.ok_or(TcpError::Unresolved)?).await.map_err(TcpError::Io)?;
+                let _ = socket.set_nodelay(true);
+                Ok::<_, TcpError>(Connection::new(uri, BoxStream::new(socket, idling)))
+            }
         });
         let connector = Connector::new()
             .connector(connect)
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -7,10 +7,13 @@
 use bytes::{Buf, BytesMut};
 use httparse::{Response, Status, EMPTY_HEADER};
 use socket2::SockRef;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -36,18 +39,86 @@
     Spoilt,
 }
 
+/// How long connections may be idle and still be used. What stands on the way may forget idle ones sooner than
+/// the settings say, and resets the next request then, which may have run.
+#[derive(Debug)]
+pub struct Idling {
+    most: Duration,
+    /// By how long they were idle, each span twice the last: requests begun, and those reset unanswered.
+    spans: RefCell<[(u32, u32); SPANS]>,
+    halved: Cell<Instant>,
+}
+
+const SPANS: usize = 10;
+const FIRST_SPAN: Duration = Duration::from_millis(25);
+/// A span is not used while so many in it were reset, and so large a part of them; resets that have nothing to
+/// do with idling are rarer, and come after short rests as well.
+const RESETS: (u32, f64) = (3, 0.2);
+/// What was seen counts half after so long.
+const HALVES: Duration = Duration::from_secs(30);
+
+impl Idling {
+    /// So long by the settings.
+    pub fn new(most: Duration) -> Self {
+        Idling { most, spans: RefCell::default(), halved: Cell::new(Instant::now()) }
+    }
+
+    fn span(idle: Duration) -> usize {
+        let spans = (1..SPANS).take_while(|n| idle >= FIRST_SPAN * (1 << (n - 1)));
+        spans.count()
+    }
+
+    /// A connection idle for so long may be used.
+    pub fn allows(&self, idle: Duration) -> bool {
+        let mut spans = self.spans.borrow_mut();
+        if self.halved.get().elapsed() > HALVES {
+            self.halved.set(Instant::now());
+            spans.iter_mut().for_each(|(begun, reset)| (*begun, *reset) = (*begun / 2, *reset / 2));
+        }
+        let harms = |(begun, reset): &(u32, u32)| {
+            *reset >= RESETS.0 && f64::from(*reset) >= RESETS.1 * f64::from(*begun)
+        };
+        idle < self.most && !spans[..=Self::span(idle)].iter().any(harms)
+    }
+
+    /// A request was begun after so long, and was answered or reset.
+    pub fn note(&self, idle: Duration, answered: bool) {
+        let (begun, reset) = &mut self.spans.borrow_mut()[Self::span(idle)];
+        (*begun, *reset) = (*begun + 1, *reset + u32::from(!answered));
+    }
+}
+
 /// One connection.
 #[derive(Debug)]
 pub struct BoxStream {
     socket: TcpStream,
     reading: Reading,
     held: BytesMut,
+    idling: Rc<Idling>,
+    /// Since when nothing is owed; `None` before its first request.
+    since: Option<Instant>,
+    /// How long it was idle before the present request.
+    idle: Option<Duration>,
 }
 
 impl BoxStream {
     /// Past its connect.
-    pub fn new(socket: TcpStream) -> Self {
-        BoxStream { socket, reading: Reading::Nothing, held: BytesMut::new() }
+    pub fn new(socket: TcpStream, idling: Rc<Idling>) -> Self {
+        BoxStream {
+            socket,
+            reading: Reading::Nothing,
+            held: BytesMut::new(),
+            idling,
+            since: None,
+            idle: None,
+        }
+    }
+
+    /// Whether the present request, on a connection that was idle before, is being answered.
+    fn note(&mut self, answered: bool) {
+        if let Some(idle) = self.idle.take() {
+            self.idling.note(idle, answered);
+        }
     }
 
     /// More bytes into `held`; how many came.
@@ -77,7 +148,9 @@
                     return Poll::Ready(Err(spoilt("a head without end")))
                 }
                 None => {
-                    if ready!(self.poll_more(cx))? == 0 {
+                    let more = ready!(self.poll_more(cx));
+                    self.note(more.as_ref().is_ok_and(|count| *count > 0));
+                    if more? == 0 {
                         return Poll::Ready(Ok(Reading::All));
                     }
                 }
@@ -142,6 +215,10 @@
             // awc looks here whether an idle connection is quiet; for it an end is one that can't be used. The
             // system is asked: what tokio knows of the socket is as old as its last look at all of them.
             Reading::Nothing => {
+                if this.since.is_some_and(|since| !this.idling.allows(since.elapsed())) {
+                    this.reading = Reading::Spoilt;
+                    return Poll::Ready(Ok(()));
+                }
                 return match SockRef::from(&this.socket).peek(&mut [MaybeUninit::uninit()]) {
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
                     _ => {
@@ -165,6 +242,7 @@
                 // What came with the answer and is no part of it is nobody's.
                 this.reading = if this.held.is_empty() { Reading::Nothing } else { Reading::Spoilt };
                 this.held = BytesMut::new();
+                this.since = Some(Instant::now());
             }
         }
         Poll::Ready(Ok(()))
@@ -175,6 +253,7 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         if self.reading == Reading::Nothing {
             self.reading = Reading::Head(0);
+            self.idle = self.since.map(|since| since.elapsed());
         }
         Pin::new(&mut self.socket).poll_write(cx, bytes)
     }
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -156,6 +156,20 @@
     assert_eq!(shaletack::net::boxes::figure(Some("12.5"), 1e4), Some(12.5));
 }
 
+/// On the way to the boxes idle connections were forgotten after 0.1 s, and two of five requests on them reset.
+#[test]
+fn connections_are_not_used_after_rests_that_resets_follow() {
+    use std::time::Duration;
+    let ms = Duration::from_millis;
+    let idling = shaletack::net::stream::Idling::new(ms(9000));
+    // Resets that come after any rest say nothing of it.
+    (0..400).for_each(|n| idling.note(ms(n * 5 % 800), n % 20 > 0));
+    assert!(idling.allows(ms(700)) && !idling.allows(ms(9000)));
+    let idling = shaletack::net::stream::Idling::new(ms(9000));
+    (0..20).for_each(|n| idling.note(ms(n * 20), n < 5 || n % 5 > 1));
+    assert!(idling.allows(ms(90)) && !idling.allows(ms(150)) && !idling.allows(ms(1000)));
+}
+
 #[test]
 fn a_write_that_provably_never_ran_goes_out_again() {
     story(async {
