--- a/tests/net.rs
+++ b/tests/net.rs
@@ -163,10 +163,10 @@
     let ms = Duration::from_millis;
     let idling = shaletack::net::stream::Idling::new(ms(9000));
     // Resets that come after any rest say nothing of it.
-    (0..400).for_each(|n| idling.note(ms(n * 5 % 800), n % 20 > 0));
+    (0..800).for_each(|n| idling.note(ms(n * 7 % 800), n % 19 > 0));
     assert!(idling.allows(ms(700)) && !idling.allows(ms(9000)));
     let idling = shaletack::net::stream::Idling::new(ms(9000));
-    (0..20).for_each(|n| idling.note(ms(n * 20), n < 5 || n % 5 > 1));
+    (0..40).for_each(|n| idling.note(ms(n * 10), n < 10 || n % 5 > 1));
     assert!(idling.allows(ms(90)) && !idling.allows(ms(150)) && !idling.allows(ms(1000)));
 }
 
