Refuse the least of the held requests at once where clients run out of connections

Now: over eight tenths of a third of the descriptors the scheduler refuses the least of those held, late ones, then those beyond the reserve with the largest tag.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -88,6 +88,7 @@
         self.notice_missed();
         self.lift_tags();
         self.dispatch();
+        self.shed();
         self.arm();
         actions.append(&mut self.acts);
     }
@@ -594,6 +595,31 @@
         }
     }
 
+    /// Clients have so many connections: more open requests would keep out others that are worth more. What is
+    /// late goes first, then what no reserve covers, of the volume that has been sent most for its weight.
+    fn shed(&mut self) {
+        let top = self.set.open_top;
+        let mut open = self.jobs.values().filter(|j| !j.over).count();
+        while top > 0 && open > top {
+            let held = self.jobs.iter().filter(|(_, j)| j.queued && j.attempts.is_empty());
+            let rank = |j: &Job| {
+                let volume = self.volumes.get(&j.req.volume);
+                let beyond = volume.is_none_or(|v| v.reserve.tokens < j.req.units);
+                let cost = j.req.units * self.dearness(j.req.class);
+                let tag = volume.map_or(0.0, |v| v.tag + cost / v.plan.weight.max(1e-6));
+                (j.aim_at <= self.now, beyond, tag)
+            };
+            let ranked = held.map(|(id, j)| (rank(j), *id));
+            let order = |a: &(bool, bool, f64), b: &(bool, bool, f64)| {
+                (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
+            };
+            let worst = ranked.max_by(|(a, _), (b, _)| order(a, b));
+            let Some((_, id)) = worst else { return };
+            self.end(id);
+            open -= 1;
+        }
+    }
+
     /// What this node may be sent next: the run it is in goes on a little past the window.
     fn offer(&mut self, id: NodeId) -> Option<RequestId> {
         let node = self.nodes.get(&id)?;
--- a/src/config.rs
+++ b/src/config.rs
@@ -28,6 +28,10 @@
 }
 
 const FEWEST_SOCKETS: usize = 64;
+/// For requests, clients hold at most this part of the descriptors; each open one has a connection,
+const CLIENTS_PART: f64 = 1.0 / 3.0;
+/// and so many may be open that those who come find one free.
+const OPEN_PART: f64 = 0.8;
 
 /// Reads the file's text; the environment's word, where it has one, goes before the file's.
 pub fn read(text: &mut [u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
@@ -40,7 +44,7 @@
     if !top.at("settings").is_there() {
         return Err("there are no settings".into());
     }
-    let settings = settings::from(top.at("settings"))?;
+    let mut settings = settings::from(top.at("settings"))?;
     if settings.classes.is_empty() || settings.plans.is_empty() {
         return Err("the settings name no classes or no plans".into());
     }
@@ -50,6 +54,10 @@
     if sockets > 0 && sockets < FEWEST_SOCKETS {
         return Err(format!("limits.sockets: {sockets} are too few, {FEWEST_SOCKETS} are needed"));
     }
+    let sockets = if sockets == 0 { 1024 } else { sockets };
+    if settings.open_top == 0 {
+        settings.open_top = (sockets as f64 * CLIENTS_PART * OPEN_PART) as usize;
+    }
     let seed = top.at("seed").text()?;
     Ok(Config {
         name: env("ROUTER_NAME").map_or_else(|| top.at("name").text().map(String::from), Ok)?,
@@ -57,7 +65,7 @@
         discovery: address("discovery", "ROUTER_DISCOVERY")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: '{seed}' is not 16 hex digits"))?,
         memory_mb: top.at("limits").at("memory_mb").whole()?,
-        sockets: if sockets == 0 { 1024 } else { sockets },
+        sockets,
         known,
         settings,
     })
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -143,6 +143,8 @@
     pub keepalive: Duration,
     /// A connection not made by then is given up.
     pub connect_timeout: Duration,
+    /// The most requests that may be open at this host: its clients have no connections for more; 0: not stated.
+    pub open_top: usize,
     /// The names of the figures in load reports, in their order.
     pub load_fields: Vec<String>,
     /// The period over which the meter adds up use; 0: no meter.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -31,6 +31,7 @@
         cold_bears: domain.at("cold-bears").real()?,
         keepalive: limits.at("keepalive").span()?,
         connect_timeout: limits.at("connect-timeout").span()?,
+        open_top: limits.at("open-requests").whole()? as usize,
         load_fields: top.at("report").at("fields").texts()?,
         meter_period: domain.at("meter-period").span()?,
         unit_mean: domain.at("unit-mean").real()?,
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -15,13 +15,21 @@
 
 impl Told {
     fn new() -> Self {
+        Self::with(0)
+    }
+
+    fn with(open_top: usize) -> Self {
         let start = Instant::now();
         let class =
             |effect| Class { aim: 100 * MS, deadline: 1000 * MS, value: 1.0, effect, ..Class::default() };
         let set = Settings {
             hosts: 1,
             classes: vec![class(Repeat::Safe), class(Repeat::Unsafe)],
-            plans: vec![Plan { weight: 1.0, reserve: 5.0, ..Plan::default() }],
+            plans: vec![
+                Plan { weight: 1.0, reserve: 5.0, ..Plan::default() },
+                Plan { weight: 1.0, ..Plan::default() },
+            ],
+            open_top,
             try_limit: 2,
             unit_mean: 1.0,
             units_top: 4.0,
@@ -119,3 +127,32 @@
     assert!(!effects.iter().any(|e| matches!(e, Effect::Answer(..))), "{effects:?}");
     assert_eq!((told.broker.open(), told.broker.tallies()[0].1.left), (0, 1));
 }
+
+/// Each open request holds a connection, and clients have only so many: in surges those who would be served
+/// found none while others waited for nothing.
+#[test]
+fn where_connections_run_out_the_least_of_the_held_is_refused_at_once() {
+    let mut told = Told::with(4);
+    told.list(Readiness::Ready);
+    let poor = |volume| Ask { volume, plan: 1, ..ask(1) };
+    let mut out = 0;
+    for id in 1..=4 {
+        out += told
+            .at(10 * MS, Input::Arrived(id, poor(id)))
+            .iter()
+            .filter(|e| matches!(e, Effect::Send { .. }))
+            .count();
+    }
+    assert!((1..4).contains(&out), "some wait: {out}");
+    // One that a reserve covers comes, and takes the place of one that has none.
+    let effects = told.at(20 * MS, Input::Arrived(9, ask(1)));
+    let refused: Vec<_> = effects
+        .iter()
+        .filter_map(|e| match e {
+            Effect::Answer(id, Answer::Refused(after)) => Some((*id, after.is_zero())),
+            _ => None,
+        })
+        .collect();
+    assert!(matches!(refused[..], [(id, false)] if id != 9 && id as usize > out), "{effects:?}");
+    assert_eq!(told.broker.open(), 4);
+}
