Rest between sends only from twice the shortest aim on, and let a run pass by one

Lines at fault: choice.rs rested_at(), which had each host wait once round trips took half of the shortest aim (75 ms; a box's own work takes 17 to 70 ms), so boxes idled while requests waited; pick(run) in offer(), which put three more of one key on a box past its window, before what others waited for.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,14 +18,14 @@
 const STALE_LEASES: u32 = 2; // News of a volume older than this says nothing: the static part holds.
 const WINDOW_TOP: f64 = 2.0; // A node starts with so many places; more only move the queue to the node.
 const WINDOW_AIM: f64 = 0.2; // It halves once round trips take this part of the shortest aim.
-const REST_AIM: f64 = 0.5; // Hosts rest between sends once round trips take this part of the shortest aim,
+const REST_AIM: f64 = 2.0; // Hosts rest between sends once round trips take this part of the shortest aim,
 const REST_POWER: f64 = 2.0; // by that power of how often they do,
 const REST_TOP: f64 = 2.0; // at most so many leases, as far as the round trip is fresh.
 const POOLED: f64 = 0.5; // Part of a limit that waits at the volume's home, where hosts may talk.
                          // The first wait after a failure, the longest.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 const REPEAT_COST: f64 = 0.5; // What a request costs a node that has just taken the same key.
-const RUN_ROOM: f64 = 3.0; // A run of one key may go on past the window by so many,
+const RUN_ROOM: f64 = 1.0; // A run of one key may go on past the window by so many,
 const RUN_LOOK: usize = 64; // looked for among so many held.
 const UNSENT: f64 = 0.49; // One not sent in this part of its time is given up, while that is of use to know.
 const OVERTAKEN: u32 = 3; // An attempt is missed once so many later ones came back before it,
@@ -595,8 +595,8 @@
         }
     }
 
-    /// Clients have so many connections: more open requests would keep out others that are worth more. What is
-    /// late goes first, then what no reserve covers, of the volume that has been sent most for its weight.
+    /// Clients have so many connections: more open requests would keep out others that are worth more. What
+    /// is late goes first, then what no reserve covers, of the volume that has been sent most for its weight.
     fn shed(&mut self) {
         let top = self.set.open_top;
         let mut open = self.jobs.values().filter(|j| !j.over).count();
