Take operators' calls on a second address: suspend, resume, drain, activate, readyz

At fault: run() in main.rs opened one listener, Host knew only stop(). Ruled out by the log: a drain that came and was not obeyed; no call was ever accepted.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -14,6 +14,8 @@
 const WAY_BACK: Duration = Duration::from_millis(10);
 /// How often the figures of what was served go to the log, while there is anything to say.
 const TALLY_EVERY: Duration = Duration::from_secs(10);
+/// Boxes are replaced by new ones all day; past so many names those that are gone are forgotten.
+const HEARD_MOST: usize = 4096;
 
 /// What a client asks, in the scheduler's terms.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -69,6 +71,14 @@
     Left(RequestId),
     /// News of the disk boxes.
     List(Members),
+    /// An operator takes a box out, whatever the list says.
+    Suspend(String),
+    /// An operator gives it back; it may have been started anew meanwhile.
+    Resume(String),
+    /// An operator wants the clients to go elsewhere.
+    Drain,
+    /// An operator takes clients again.
+    Activate,
     /// A wait is over.
     Woke,
 }
@@ -162,6 +172,15 @@
     until: Duration,
 }
 
+/// A box that the list named once, and what operators said of it.
+#[derive(Clone, Debug)]
+struct Heard {
+    member: Member,
+    suspended: bool,
+    /// When it was last given back: it counts as started then, at the latest.
+    back: Duration,
+}
+
 /// The state of one initiator.
 #[derive(Debug)]
 pub struct Broker {
@@ -173,6 +192,8 @@
     open: BTreeMap<RequestId, Open>,
     flights: BTreeMap<(RequestId, u8), Flight>,
     wake: Option<Duration>,
+    heard: BTreeMap<String, Heard>,
+    drained: Option<Duration>,
     tallies: Vec<(String, Tally)>,
     told_at: Duration,
     ends: BTreeMap<String, u64>,
@@ -192,6 +213,8 @@
             open: BTreeMap::new(),
             flights: BTreeMap::new(),
             wake: None,
+            heard: BTreeMap::new(),
+            drained: None,
             told_at: at,
             ends: BTreeMap::new(),
         }
@@ -231,6 +254,19 @@
                 }
             }
             Input::List(members) => events.push(self.listed(members, &mut effects)),
+            Input::Suspend(id) => events.extend(self.suspend(at, &id, true, &mut effects)),
+            Input::Resume(id) => events.extend(self.suspend(at, &id, false, &mut effects)),
+            Input::Drain => {
+                if self.drained.is_none() {
+                    self.drained = Some(at);
+                    effects.push(Effect::Log("drained by hand: clients are to go elsewhere".into()));
+                }
+            }
+            Input::Activate => {
+                if self.drained.take().is_some() {
+                    effects.push(Effect::Log("activated by hand: clients are taken again".into()));
+                }
+            }
             Input::Woke => {}
         }
         self.time_out(at, &mut events, &mut effects);
@@ -335,10 +371,54 @@
         Some(Event::Attempt(self.outcome(at, id, number, &flight, end.outcome())))
     }
 
+    /// Whether the list ever named a box of that name.
+    pub fn knows(&self, id: &str) -> bool {
+        self.heard.contains_key(id)
+    }
+
+    /// The names of the boxes that operators took out.
+    pub fn suspended(&self) -> Vec<String> {
+        let out = self.heard.iter().filter(|(_, h)| h.suspended);
+        out.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Since when clients are to go elsewhere, where an operator said so.
+    pub fn drained_since(&self) -> Option<Instant> {
+        self.drained.map(|at| self.clock.instant(at))
+    }
+
+    /// Takes a box out, or gives it back cold: operators start it anew meanwhile, and the list may tell of
+    /// that much later. Saying it twice is saying it once.
+    fn suspend(&mut self, at: Duration, id: &str, out: bool, effects: &mut Vec<Effect>) -> Option<Event> {
+        let heard = self.heard.get_mut(id).filter(|h| h.suspended != out)?;
+        heard.suspended = out;
+        if !out {
+            heard.back = at;
+        }
+        let done = if out { "suspended" } else { "resumed, cold," };
+        effects.push(Effect::Log(format!("{id} is {done} by hand")));
+        let line = self.line(id)?;
+        Some(Event::List { kind: ListKind::Changes, lines: vec![line] })
+    }
+
+    /// A box in the scheduler's terms: one that is taken out drains, whatever the list says.
+    fn line(&self, id: &str) -> Option<NodeLine> {
+        let Heard { member, suspended, back } = self.heard.get(id)?;
+        let out = *suspended && member.readiness == Readiness::Ready;
+        Some(NodeLine {
+            node: node_number(id),
+            zone: self.zones.iter().position(|z| *z == member.zone).unwrap_or(0) as u16,
+            shard: member.shard,
+            readiness: if out { Readiness::Draining } else { member.readiness },
+            born: member.up_since.unwrap_or_default().max(*back),
+        })
+    }
+
     fn listed(&mut self, members: Members, effects: &mut Vec<Effect>) -> Event {
         if members.kind != ListKind::Changes {
             self.names.clear();
             self.addresses.clear();
+            self.heard.values_mut().for_each(|h| h.member.readiness = Readiness::Gone);
         }
         let mut lines = Vec::new();
         for member in &members.entries {
@@ -351,13 +431,16 @@
                 self.addresses.extend(member.address.map(|a| (node, a)));
             }
             effects.push(Effect::Log(news(&members, member)));
-            lines.push(NodeLine {
-                node,
-                zone: self.zones.iter().position(|z| *z == member.zone).unwrap_or(0) as u16,
-                shard: member.shard,
-                readiness: member.readiness,
-                born: member.up_since.unwrap_or_default(),
+            let heard = self.heard.entry(member.id.clone());
+            heard.and_modify(|h| h.member = member.clone()).or_insert_with(|| Heard {
+                member: member.clone(),
+                suspended: false,
+                back: Duration::ZERO,
             });
+            lines.extend(self.line(&member.id));
+        }
+        if self.heard.len() > HEARD_MOST {
+            self.heard.retain(|_, h| h.suspended || h.member.readiness != Readiness::Gone);
         }
         Event::List { kind: members.kind, lines }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -15,6 +15,8 @@
     pub listen: SocketAddr,
     /// Where the discovery agent answers.
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub management: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// How many file descriptors the process may hold.
@@ -63,6 +65,10 @@
         name: env("ROUTER_NAME").map_or_else(|| top.at("name").text().map(String::from), Ok)?,
         listen: address("listen", "ROUTER_LISTEN")?,
         discovery: address("discovery", "ROUTER_DISCOVERY")?,
+        management: match env("ROUTER_MANAGEMENT").is_some() || top.at("management").is_there() {
+            true => Some(address("management", "ROUTER_MANAGEMENT")?),
+            false => None,
+        },
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: '{seed}' is not 16 hex digits"))?,
         memory_mb: top.at("limits").at("memory_mb").whole()?,
         sockets,
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,11 +8,13 @@
 use shaletack::members::Members;
 use shaletack::nbd;
 use shaletack::net::host::{self, Host};
-use shaletack::net::{boxes, front, watch};
+use shaletack::net::{boxes, front, management, watch};
 use shaletack::operator::{self, Operator};
+use std::cell::Cell;
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::{Instant, SystemTime};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -25,7 +27,7 @@
        shaletack version                    print the version
 The configuration's file is FILE, or else $ROUTER_CONFIG.";
 
-/// Descriptors kept for what is neither a client's nor a box's connection.
+/// Descriptors kept for what is neither a client's, an operator's nor a box's connection.
 const SPARE_SOCKETS: usize = 32;
 
 /// What the process needs with no client at all, in MiB.
@@ -183,7 +185,7 @@
 }
 
 async fn run(config: Config, file: String) -> Result<(), String> {
-    let Config { name, listen, discovery, seed, sockets, memory_mb, known, settings } = config;
+    let Config { name, listen, discovery, management, seed, sockets, memory_mb, known, settings } = config;
     let (mut term, hangup) = signals()?;
     let host = start(settings.clone(), seed);
     let revision = known.revision;
@@ -200,7 +202,15 @@
     actix_rt::spawn(at_each(hangup, read, put));
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
     host::log(&format!("{name} listens on {}", listener.local_addr().map_err(|e| format!("{listen}: {e}"))?));
-    let rest = sockets.saturating_sub(SPARE_SOCKETS);
+    // Operators' calls have descriptors of their own, whatever the clients hold.
+    let mut rest = sockets.saturating_sub(SPARE_SOCKETS);
+    if let Some(place) = management {
+        rest = rest.saturating_sub(management::PLACES);
+        let calls = TcpListener::bind(place).await.map_err(|e| format!("management at {place}: {e}"))?;
+        let place = calls.local_addr().map_err(|e| format!("management at {place}: {e}"))?;
+        host::log(&format!("operators call at {place}"));
+        actix_rt::spawn(management::serve(host.clone(), calls, Rc::new(Cell::new(true))));
+    }
     let boxes = boxes::Boxes::new(&settings, rest / 4);
     // Where memory is short there is room for fewer connections than descriptors.
     let room = match memory_mb {
--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -3,7 +3,7 @@
 //! actix-http has one clock for a connection's first head, one for an idle connection and none for a body;
 //! it reads up to 128 KiB of a head, and as much again of requests sent ahead. Here each has its own bound.
 
-use super::host::log;
+use super::host::{log, Host};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -29,6 +29,12 @@
 /// ordinary request comes at once and in one piece.
 const FULL: (Duration, Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(200), Duration::from_millis(200));
+/// While clients are to go elsewhere, connections that rest are closed from the first on and every one without
+/// a request from the second on: newcomers stop 0.3 s after the first no, and at 4 s no connection may be idle
+/// or have had a request in 2 s.
+const LEAVE: (Duration, Duration) = (Duration::from_millis(1000), Duration::from_millis(1600));
+/// On a connection that rested so long the next request is not expected just now.
+const LEAVE_REST: Duration = Duration::from_millis(250);
 /// A head, with what of its body is read along with it.
 const HEAD_MOST: usize = 32 * 1024;
 /// Bytes read of requests sent ahead of an answer; more wait in the socket.
@@ -61,6 +67,8 @@
     bytes: Cell<usize>,
     reader: RefCell<Option<Waker>>,
     cut: Notify,
+    /// It is to end once nothing more has come on it.
+    ends: Cell<bool>,
 }
 
 impl Line {
@@ -105,6 +113,24 @@
         self.cut.notified().await;
     }
 
+    /// Lets it end as if its client had closed it, unless a request has come that nobody read yet.
+    fn end_quietly(&self) {
+        self.ends.set(true);
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+
+    /// Whether it may go while clients are to go elsewhere, which began so long ago: long after the last
+    /// newcomer those that rest, and a little later all without a request.
+    fn may_leave(&self, now: Instant, ago: Duration) -> bool {
+        let rest = now.saturating_duration_since(self.since.get());
+        match self.stage.get() {
+            Stage::Fresh | Stage::Idle => ago > LEAVE.1 || ago > LEAVE.0 && rest > LEAVE_REST,
+            _ => false,
+        }
+    }
+
     fn is_over(&self, now: Instant, crowded: bool, full: bool) -> bool {
         let most = match self.stage.get() {
             Stage::Fresh if full => FULL.0,
@@ -134,13 +160,14 @@
             bytes: Cell::new(0),
             reader: RefCell::new(None),
             cut: Notify::new(),
+            ends: Cell::new(false),
         });
         self.0.borrow_mut().push(Rc::downgrade(&line));
         line
     }
 
     /// Ends connections whose time is over, for as long as the front serves; `most` are let in.
-    pub async fn keep(self, most: usize) {
+    pub async fn keep(self, host: Host, most: usize) {
         let mut told = None;
         loop {
             tokio::time::sleep(LOOK).await;
@@ -148,6 +175,13 @@
             let mut lines = self.0.borrow_mut();
             lines.retain(|line| line.strong_count() > 0);
             let (open, full) = (lines.len(), lines.len() >= most);
+            if let Some(since) = host.leaves_since() {
+                let ago = now.saturating_duration_since(since);
+                let leaving = lines.iter().filter_map(Weak::upgrade).filter(|l| l.may_leave(now, ago));
+                leaving.for_each(|line| line.end_quietly());
+            } else {
+                lines.iter().filter_map(Weak::upgrade).for_each(|line| line.ends.set(false));
+            }
             let over =
                 lines.iter().filter_map(Weak::upgrade).filter(|l| l.is_over(now, open * 2 >= most, full));
             let cut = over.map(|line| line.cut.notify_one()).count();
@@ -201,6 +235,10 @@
         let mut part = ReadBuf::new(out.initialize_unfilled_to(room));
         let Poll::Ready(read) = Pin::new(&mut this.socket).poll_read(cx, &mut part) else {
             this.at_once = 0;
+            if line.ends.get() && matches!(line.stage.get(), Stage::Fresh | Stage::Idle) {
+                return Poll::Ready(Ok(()));
+            }
+            line.reader.replace(Some(cx.waker().clone()));
             return Poll::Pending;
         };
         read?;
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -8,7 +8,9 @@
 use crate::interface::{Settings, VolumeId};
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
-use actix_http::{Extensions, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
+use actix_http::{
+    ConnectionType, Extensions, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
+};
 use actix_service::{fn_service, Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -38,11 +40,18 @@
     let Front { host, settings, boxes, most } = front;
     let closing = Closing::default();
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let core = host.clone();
     let gate = Gate { listener, host: host.clone(), most, longest, closing: closing.clone() };
     let open = Rc::new(Open { host, settings, boxes, longest, traces: RefCell::default() });
     let handler = fn_service(move |request: Request| {
         let open = open.clone();
-        async move { Ok::<_, Infallible>(open.handle(request).await) }
+        async move {
+            let mut response = open.handle(request).await;
+            if open.host.leaves_since().is_some() {
+                response.head_mut().set_connection_type(ConnectionType::Close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     // A client that closes its connection while its request is open has left: the service future is
     // dropped then, which half-closed connections would prevent.
@@ -59,7 +68,7 @@
         .h1(handler);
     let Ok(http) = http.new_service(()).await else { return log("the front could not be set up") };
     let crowd = Crowd::default();
-    let keeper = actix_rt::spawn(crowd.clone().keep(most));
+    let keeper = actix_rt::spawn(crowd.clone().keep(core, most));
     // How a client's connection ends is the client's affair; its request knows by being dropped.
     let serve = |stream| {
         let line = crowd.join();
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -121,9 +121,25 @@
         }
     }
 
-    /// Whether requests can be served now.
+    /// Carries out what an operator asks for; no, where it names a box that was never listed.
+    pub fn order(&self, order: Input) -> bool {
+        if let Input::Suspend(id) | Input::Resume(id) = &order {
+            if !self.look(|broker| broker.knows(id)) {
+                return false;
+            }
+        }
+        self.feed(order);
+        true
+    }
+
+    /// Since when clients are to go elsewhere, if they are.
+    pub fn leaves_since(&self) -> Option<Instant> {
+        self.look(Broker::drained_since)
+    }
+
+    /// Whether new clients can be served now.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.0.broker.borrow().is_ready()
+        !self.is_stopping() && self.leaves_since().is_none() && self.0.broker.borrow().is_ready()
     }
 
     /// Whether the program is on its way out.
--- /dev/null
+++ b/src/net/management.rs
@@ -0,0 +1,105 @@
+//! The operators' address: one call on each connection, beside the clients' front and never behind its gate.
+
+use super::host::{log, Host};
+use crate::broker::Input;
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode};
+use actix_service::{fn_service, Service, ServiceFactory};
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+
+/// Calls at a time. With all places taken the oldest gives way: a whole call is answered at once, so that one
+/// can only be waiting for the rest of its own.
+pub const PLACES: usize = 16;
+/// A call comes whole within this.
+const WHOLE_CALL: Duration = Duration::from_secs(5);
+/// After its answer a caller has so long to close.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// What an operator may ask for.
+#[derive(Clone, Debug)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Ready,
+    /// A change of the core.
+    Order(Input),
+}
+
+/// A call as its path names it; `Err` says why it is none.
+fn understand(method: &Method, path: &str) -> Result<Call, StatusCode> {
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    let (call, wants) = match parts[..] {
+        ["v1", "readyz"] => (Call::Ready, Method::GET),
+        ["v1", "targets", id, "suspend"] => (Call::Order(Input::Suspend(id.into())), Method::POST),
+        ["v1", "targets", id, "resume"] => (Call::Order(Input::Resume(id.into())), Method::POST),
+        ["v1", "initiator", "drain"] => (Call::Order(Input::Drain), Method::POST),
+        ["v1", "initiator", "activate"] => (Call::Order(Input::Activate), Method::POST),
+        _ => return Err(StatusCode::NOT_FOUND),
+    };
+    if *method == wants {
+        Ok(call)
+    } else {
+        Err(StatusCode::METHOD_NOT_ALLOWED)
+    }
+}
+
+fn answer(host: &Host, ready: &Cell<bool>, request: &Request) -> (StatusCode, &'static str) {
+    match understand(request.method(), request.path()) {
+        Err(StatusCode::NOT_FOUND) => (StatusCode::NOT_FOUND, "there is no such call\n"),
+        Err(status) => (status, "another method is wanted\n"),
+        Ok(Call::Ready) if ready.get() && !host.is_stopping() => (StatusCode::OK, "ready\n"),
+        Ok(Call::Ready) => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        // In force before the answer leaves.
+        Ok(Call::Order(order)) if host.order(order.clone()) => (StatusCode::OK, "done\n"),
+        Ok(Call::Order(_)) => (StatusCode::NOT_FOUND, "no such target was ever listed\n"),
+    }
+}
+
+/// Answers calls for as long as the program runs; `ready` says whether clients are taken.
+pub async fn serve(host: Host, listener: TcpListener, ready: Rc<Cell<bool>>) {
+    let handler = fn_service(move |request: Request| {
+        let (host, ready) = (host.clone(), ready.clone());
+        async move {
+            let (status, text) = answer(&host, &ready, &request);
+            let response = Response::build(status).force_close().body(text).map_into_boxed_body();
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let http = HttpService::<TcpStream, _, BoxBody>::build()
+        .keep_alive(KeepAlive::Disabled)
+        .client_request_timeout(WHOLE_CALL)
+        .client_disconnect_timeout(LINGER)
+        .h1(handler);
+    let Ok(http) = http.new_service(()).await else {
+        return log("the management address could not be set up");
+    };
+    let mut open: VecDeque<AbortHandle> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                open.retain(|call| !call.is_finished());
+                while open.len() >= PLACES {
+                    open.pop_front().inspect(|oldest| oldest.abort());
+                }
+                let call = http.call((stream, None));
+                open.push_back(
+                    actix_rt::spawn(async move {
+                        // How a call's connection ends is its caller's affair.
+                        let _ = call.await;
+                    })
+                    .abort_handle(),
+                );
+            }
+            Err(error) => {
+                log(&format!("a management call could not be accepted: {error}"));
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,5 +7,6 @@
 pub mod gate;
 pub mod host;
 pub mod lines;
+pub mod management;
 pub mod stream;
 pub mod watch;
--- /dev/null
+++ b/tests/daily.rs
@@ -0,0 +1,109 @@
+//! What operators do every day, over loopback: their calls, new settings, large bodies, a new version.
+
+mod common;
+use common::net::*;
+use shaletack::broker::Input;
+use shaletack::net::management;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+async fn operators(host: &shaletack::net::host::Host) -> SocketAddr {
+    let (listener, address) = loopback().await;
+    actix_rt::spawn(management::serve(host.clone(), listener, Rc::new(Cell::new(true))));
+    address
+}
+
+/// One call on a connection of its own, which ends with it; its status.
+async fn call(to: SocketAddr, method: &str, path: &str) -> u16 {
+    let mut client = HttpClient::connect(to).await;
+    let (status, _, _) = client.ask(format!("{method} {path} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes()).await;
+    assert_eq!(client.0.read(&mut [0]).await.unwrap_or(0), 0, "one call on each connection");
+    status
+}
+
+/// Slow callers by the dozen hold every place; what is no call is a no.
+#[test]
+fn calls_are_answered_beside_callers_that_say_nothing() {
+    story(async {
+        let (_, _, host) = http_front(&[]).await;
+        let place = operators(&host).await;
+        let mut slow = Vec::new();
+        for _ in 0..3 * management::PLACES {
+            let mut stream = TcpStream::connect(place).await.unwrap();
+            stream.write_all(b"POST /v1/initiator/dr").await.unwrap();
+            slow.push(stream);
+        }
+        assert_eq!(call(place, "GET", "/v1/readyz").await, 200);
+        for (method, path) in [
+            ("POST", "/v1/readyz"),
+            ("GET", "/v1/initiator/drain"),
+            ("POST", "/v1/targets/s-0badf00d/suspend"),
+            ("POST", "/v1/targets/s-0badf00d/resume"),
+            ("POST", "/v1/targets//suspend"),
+            ("GET", "/leitura/7f3a9c21e0b4d655"),
+        ] {
+            assert!((400..500).contains(&call(place, method, path).await), "{method} {path}");
+        }
+        assert!(host.leaves_since().is_none());
+    });
+}
+
+/// The list knows nothing of what operators said, and must not undo it.
+#[test]
+fn a_target_taken_out_gets_nothing_until_it_is_given_back_whatever_the_list_says() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"x", 0), false))).await;
+        let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+        let place = operators(&host).await;
+        let id = format!("s-{:08x}", boxed.address.port());
+        let mut client = HttpClient::connect(front).await;
+        assert_eq!(client.ask(&platform_request("GET", "leitura", 0, 2, b"")).await.0, 200);
+        for _ in 0..2 {
+            assert_eq!(call(place, "POST", &format!("/v1/targets/{id}/suspend")).await, 200);
+        }
+        let mut list = operator(&[(boxed.address, 0), ("127.0.0.1:9".parse().unwrap(), 1)]).boxes;
+        list.entries.truncate(1);
+        host.feed(Input::List(list));
+        let refused = client.ask(&platform_request("PUT", "gravacao", 0, 2, b"w")).await;
+        assert!(refused.0 == 503 && header(&refused.1, "retry-after").is_some(), "{}", refused.1);
+        assert_eq!(boxed.seen.borrow().len(), 1);
+        assert_eq!(call(place, "POST", &format!("/v1/targets/{id}/resume")).await, 200);
+        assert_eq!(client.ask(&platform_request("GET", "leitura", 0, 2, b"")).await.0, 200);
+        assert_eq!(boxed.seen.borrow().len(), 2);
+    });
+}
+
+/// Clients are sent elsewhere and nothing is cut: a connection goes with its answer, or once it rests.
+#[test]
+fn a_drain_closes_what_rests_and_ends_as_it_began() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"x", 0), false))).await;
+        let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+        let place = operators(&host).await;
+        let (mut resting, mut working) = (HttpClient::connect(front).await, HttpClient::connect(front).await);
+        let ask = || platform_request("GET", "leitura", 0, 2, b"");
+        let kept = |head: &str| header(head, "connection").is_none_or(|v| v != "close");
+        for client in [&mut resting, &mut working] {
+            assert!(kept(&client.ask(&ask()).await.1));
+        }
+        assert_eq!(call(place, "POST", "/v1/initiator/drain").await, 200);
+        let since = std::time::Instant::now();
+        let (status, head, _) = working.ask(&ask()).await;
+        assert!(status == 200 && !kept(&head), "{head}");
+        assert_eq!(working.0.read(&mut [0]).await.unwrap(), 0);
+        // Newcomers are served, and told to go.
+        let health = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
+        assert_eq!(HttpClient::connect(front).await.ask(health).await.0, 503);
+        let (status, head, _) = HttpClient::connect(front).await.ask(&ask()).await;
+        assert!(status == 200 && !kept(&head), "{head}");
+        assert_eq!(resting.0.read(&mut [0]).await.unwrap(), 0);
+        assert!((900..2500).contains(&since.elapsed().as_millis()), "{:?}", since.elapsed());
+        assert_eq!(call(place, "POST", "/v1/initiator/activate").await, 200);
+        let mut client = HttpClient::connect(front).await;
+        assert_eq!(client.ask(health).await.0, 200);
+        assert!(kept(&client.ask(&ask()).await.1));
+    });
+}
