--- a/src/broker.rs
+++ b/src/broker.rs
@@ -8,12 +8,15 @@
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// An answer is given so long before its client stops waiting: the way back takes time as well.
 const WAY_BACK: Duration = Duration::from_millis(10);
 /// How often the figures of what was served go to the log, while there is anything to say.
 const TALLY_EVERY: Duration = Duration::from_secs(10);
+/// Clients go on with classes that newer settings dropped for a while.
+const OLD_CLASSES: Duration = Duration::from_secs(5);
 /// Boxes are replaced by new ones all day; past so many names those that are gone are forgotten.
 const HEARD_MOST: usize = 4096;
 
@@ -71,6 +74,8 @@
     Left(RequestId),
     /// News of the disk boxes.
     List(Members),
+    /// Settings to be used from now on; what was taken keeps the rules it came under.
+    Settings(Box<Settings>),
     /// An operator takes a box out, whatever the list says.
     Suspend(String),
     /// An operator gives it back; it may have been started anew meanwhile.
@@ -186,7 +191,8 @@
 pub struct Broker {
     scheduler: Scheduler,
     clock: Clock,
-    zones: Vec<String>,
+    settings: Rc<Settings>,
+    retuned: Option<Duration>,
     names: BTreeMap<String, NodeId>,
     addresses: BTreeMap<NodeId, SocketAddr>,
     open: BTreeMap<RequestId, Open>,
@@ -204,7 +210,8 @@
     pub fn new(set: Settings, seed: u64, clock: Clock, now: Instant) -> Self {
         let at = clock.time(now);
         Broker {
-            zones: set.zones.clone(),
+            settings: Rc::new(set.clone()),
+            retuned: None,
             tallies: set.classes.iter().map(|c| (c.name.clone(), Tally::default())).collect(),
             scheduler: Scheduler::new(set, seed, at),
             clock,
@@ -254,6 +261,7 @@
                 }
             }
             Input::List(members) => events.push(self.listed(members, &mut effects)),
+            Input::Settings(set) => events.push(self.retune(at, *set)),
             Input::Suspend(id) => events.extend(self.suspend(at, &id, true, &mut effects)),
             Input::Resume(id) => events.extend(self.suspend(at, &id, false, &mut effects)),
             Input::Drain => {
@@ -371,6 +379,35 @@
         Some(Event::Attempt(self.outcome(at, id, number, &flight, end.outcome())))
     }
 
+    /// What there is now, and what there was, retired.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.clone()
+    }
+
+    /// A class by the name that clients use. One that newer settings dropped is still found for a while:
+    /// clients learn of new settings later than this initiator.
+    pub fn class(&self, name: &str, now: Instant) -> Option<u16> {
+        let classes = || self.settings.classes.iter().enumerate().filter(|(_, c)| c.name == name);
+        let current = classes().find(|(_, c)| !c.retired);
+        let fresh = self.retuned.is_some_and(|at| self.clock.time(now) < at + OLD_CLASSES);
+        current.or_else(|| classes().next_back().filter(|_| fresh)).map(|(number, _)| number as u16)
+    }
+
+    /// A plan by its name, in the same way.
+    pub fn plan(&self, name: &str) -> Option<u16> {
+        let plans = || self.settings.plans.iter().enumerate().filter(|(_, p)| p.name == name);
+        plans().find(|(_, p)| !p.retired).or_else(|| plans().next_back()).map(|(number, _)| number as u16)
+    }
+
+    fn retune(&mut self, at: Duration, set: Settings) -> Event {
+        let set = set.after(&self.settings);
+        let more = set.classes.iter().skip(self.tallies.len());
+        self.tallies.extend(more.map(|c| (c.name.clone(), Tally::default())));
+        self.settings = Rc::new(set.clone());
+        self.retuned = Some(at);
+        Event::Settings(Box::new(set))
+    }
+
     /// Whether the list ever named a box of that name.
     pub fn knows(&self, id: &str) -> bool {
         self.heard.contains_key(id)
@@ -407,7 +444,7 @@
         let out = *suspended && member.readiness == Readiness::Ready;
         Some(NodeLine {
             node: node_number(id),
-            zone: self.zones.iter().position(|z| *z == member.zone).unwrap_or(0) as u16,
+            zone: self.settings.zones.iter().position(|z| *z == member.zone).unwrap_or(0) as u16,
             shard: member.shard,
             readiness: if out { Readiness::Draining } else { member.readiness },
             born: member.up_since.unwrap_or_default().max(*back),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -99,6 +99,10 @@
             Event::Request(request) => self.on_request(request),
             Event::Streaming(id) => self.on_streaming(*id),
             Event::Attempt(attempt) => self.on_attempt(attempt),
+            Event::Settings(set) => {
+                self.set = Settings::clone(set);
+                self.stride = stride(u64::from(set.hosts.max(1)));
+            }
             Event::Left(id) => self.on_left(*id),
             Event::Timer => {
                 // A host's clock may be coarser than ours: a timer a little early is still the one set.
@@ -425,7 +429,7 @@
 
     fn may_repeat(&self, job: &Job) -> bool {
         let class = self.set.class(job.req.class);
-        let tries_left = self.set.try_limit == 0 || (job.attempts.len() as u32) < self.set.try_limit;
+        let tries_left = self.set.tries_left(&class, job.attempts.len());
         let effect_ok = match (class.effect, job.first_run()) {
             (Effect::Safe, _) | (_, None) => true,
             (Effect::Unsafe, Some(_)) => false,
--- a/src/config.rs
+++ b/src/config.rs
@@ -27,8 +27,11 @@
     pub known: Members,
     /// The scheduler's settings.
     pub settings: Settings,
+    /// The file's text, as read.
+    pub text: Vec<u8>,
 }
 
+const NEEDED: [&str; 4] = ["seed", "limits", "known", "settings"];
 const FEWEST_SOCKETS: usize = 64;
 /// For requests, clients hold at most this part of the descriptors; each open one has a connection,
 const CLIENTS_PART: f64 = 1.0 / 3.0;
@@ -37,19 +40,26 @@
 
 /// Reads the file's text; the environment's word, where it has one, goes before the file's.
 pub fn read(text: &mut [u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    let whole = text.to_vec();
     let value = json::parse(text)?;
     let top = Look::object(&value, "the configuration")?;
     let address = |name: &str, variable: &str| {
         let text = env(variable).map_or_else(|| top.at(name).text().map(String::from), Ok)?;
         text.parse().map_err(|_| format!("{name}: '{text}' is not an address and port"))
     };
-    if !top.at("settings").is_there() {
-        return Err("there are no settings".into());
+    if let Some(key) = NEEDED.into_iter().find(|key| !top.at(key).is_there()) {
+        return Err(format!("there is no key '{key}'"));
     }
     let mut settings = settings::from(top.at("settings"))?;
     if settings.classes.is_empty() || settings.plans.is_empty() {
         return Err("the settings name no classes or no plans".into());
     }
+    if let Some(class) = settings.classes.iter().find(|c| c.name.is_empty() || c.deadline.is_zero()) {
+        return Err(format!("settings.lanes: '{}' has no name, or no deadline above 0", class.name));
+    }
+    if settings.try_limit == 0 {
+        return Err("settings.limits.try-limit: it has to be a number above 0".into());
+    }
     let mut known = members::from(top.at("known"))?;
     known.kind = ListKind::Cached;
     let sockets = top.at("limits").at("sockets").whole()? as usize;
@@ -74,5 +84,16 @@
         sockets,
         known,
         settings,
+        text: whole,
     })
 }
+
+/// The first key that a configuration in force has and a newer one lacks. Entries of the list of boxes differ
+/// from day to day, and are looked at when they are read.
+pub fn lacks(older: &[u8], newer: &[u8]) -> Option<String> {
+    let (mut older, mut newer) = (older.to_vec(), newer.to_vec());
+    let (older, newer) = (json::parse(&mut older).ok()?, json::parse(&mut newer).ok()?);
+    let older = Look::object(&older, "the configuration").ok()?;
+    let newer = Look::object(&newer, "the configuration").ok()?;
+    older.missing_in(newer).filter(|path| !path.starts_with("known.members."))
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -57,6 +57,10 @@
     pub memory: Duration,
     /// Requests with the same key run one at a time, in the order taken.
     pub ordered: bool,
+    /// The most attempts of one of its requests; 0: the settings' `try_limit`.
+    pub tries: u32,
+    /// Newer settings have it no more: only requests taken under it stay.
+    pub retired: bool,
 }
 
 /// One plan; its figures hold for each of its volumes, over all hosts and nodes together.
@@ -78,6 +82,8 @@
     pub weight: f64,
     /// A factor on the worth of its requests.
     pub price: f64,
+    /// Newer settings have it no more.
+    pub retired: bool,
 }
 
 /// The figures of the rules.
@@ -173,19 +179,54 @@
         self.classes.get(number as usize).cloned().unwrap_or_default()
     }
 
+    /// A request of this class that was tried so often may be tried again.
+    pub fn tries_left(&self, class: &Class, tried: usize) -> bool {
+        let most = if class.tries > 0 { class.tries } else { self.try_limit };
+        most == 0 || tried < most as usize
+    }
+
+    /// The longest that a client waits.
+    pub fn longest(&self) -> Duration {
+        self.classes.iter().map(|c| c.deadline).max().unwrap_or_default()
+    }
+
+    /// These in place of older ones. A class or plan that is the same in both keeps its number, and one that only
+    /// the older have keeps it too, retired: numbers that are in use never come to mean something else.
+    pub fn after(mut self, older: &Settings) -> Settings {
+        let mut classes: Vec<_> =
+            older.classes.iter().cloned().map(|c| Class { retired: true, ..c }).collect();
+        for class in std::mem::take(&mut self.classes) {
+            let same = |c: &&mut Class| **c == Class { retired: true, ..class.clone() };
+            match classes.iter_mut().find(same) {
+                Some(old) => old.retired = false,
+                None => classes.push(class),
+            }
+        }
+        let mut plans: Vec<_> = older.plans.iter().cloned().map(|p| Plan { retired: true, ..p }).collect();
+        for plan in std::mem::take(&mut self.plans) {
+            match plans.iter_mut().find(|p| **p == Plan { retired: true, ..plan.clone() }) {
+                Some(old) => old.retired = false,
+                None => plans.push(plan),
+            }
+        }
+        Settings { classes, plans, ..self }
+    }
+
     /// The shortest aim of all classes, in nanoseconds; a second where there are none.
     pub fn shortest_aim(&self) -> f64 {
-        self.classes.iter().map(|c| c.aim).min().unwrap_or(Duration::from_secs(1)).as_nanos() as f64
+        let current = self.classes.iter().filter(|c| !c.retired);
+        current.map(|c| c.aim).min().unwrap_or(Duration::from_secs(1)).as_nanos() as f64
     }
 
     /// What a request of the class worth most is worth.
     pub fn top_value(&self) -> f64 {
-        self.classes.iter().map(|c| c.value).fold(0.0, f64::max)
+        self.classes.iter().filter(|c| !c.retired).map(|c| c.value).fold(0.0, f64::max)
     }
 
     /// The mean weight of the plans.
     pub fn mean_weight(&self) -> f64 {
-        self.plans.iter().map(|p| p.weight).sum::<f64>() / self.plans.len().max(1) as f64
+        let current = || self.plans.iter().filter(|p| !p.retired);
+        current().map(|p| p.weight).sum::<f64>() / current().count().max(1) as f64
     }
 }
 
@@ -327,6 +368,8 @@
     Streaming(RequestId),
     /// An attempt ended.
     Attempt(Attempt),
+    /// The settings from now on; numbers of classes and plans mean what they meant, and there may be more.
+    Settings(Box<Settings>),
     /// The client left; no answer is owed any more.
     Left(RequestId),
     /// A timer is due.
--- a/src/json.rs
+++ b/src/json.rs
@@ -31,6 +31,29 @@
         Look(self.0.and_then(|v| v.get(name)).filter(|v| !v.is_null()))
     }
 
+    /// The first key, by its path, that this value has and another lacks. Of a list of objects what all of them
+    /// have is asked of each of the other's.
+    pub fn missing_in(self, other: Self) -> Option<String> {
+        let (Some(own), Some(theirs)) = (self.0, other.0) else { return None };
+        if let (Some(own), Some(_)) = (own.as_object(), theirs.as_object()) {
+            return own.keys().find_map(|key| {
+                let (mine, other) = (self.at(key), other.at(key));
+                match (mine.is_there(), other.is_there()) {
+                    (true, false) => Some(key.to_string()),
+                    _ => mine.missing_in(other).map(|path| format!("{key}.{path}")),
+                }
+            });
+        }
+        let (own, theirs) = (own.as_array()?, theirs.as_array()?);
+        let keys =
+            own.first()?.as_object()?.keys().filter(|key| own.iter().all(|o| o.contains_key(key.as_ref())));
+        let keys: Vec<_> = keys.collect();
+        let lacks = |entry: &BorrowedValue| {
+            keys.iter().find(|k| !entry.contains_key(k.as_ref())).map(|k| k.to_string())
+        };
+        theirs.iter().find_map(lacks)
+    }
+
     /// Whether there is a value.
     pub fn is_there(self) -> bool {
         self.0.is_some()
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,7 +10,7 @@
 use shaletack::net::host::{self, Host};
 use shaletack::net::{boxes, front, management, watch};
 use shaletack::operator::{self, Operator};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
 use std::process::ExitCode;
@@ -185,7 +185,8 @@
 }
 
 async fn run(config: Config, file: String) -> Result<(), String> {
-    let Config { name, listen, discovery, management, seed, sockets, memory_mb, known, settings } = config;
+    let Config { name, listen, discovery, management, seed, sockets, memory_mb, known, settings, text } =
+        config;
     let (mut term, hangup) = signals()?;
     let host = start(settings.clone(), seed);
     let revision = known.revision;
@@ -194,10 +195,26 @@
     let mut watch = watch::Watch::start(host.clone(), discovery, revision);
     // The environment tells where discovery was at the start; from a new file on, the file does.
     let unless_moved = |name: &str| (name != "ROUTER_DISCOVERY").then(|| std::env::var(name).ok())?;
-    let read = move || read_config(&file, unless_moved);
+    // What is read has to be whole before any of it counts.
+    let in_force = Rc::new(RefCell::new(text));
+    let last = in_force.clone();
+    let read = move || {
+        let new = read_config(&file, unless_moved)?;
+        match config::lacks(&last.borrow(), &new.text) {
+            Some(key) => Err(format!("{file}: there is no key '{key}'")),
+            None => Ok(new),
+        }
+    };
+    let core = host.clone();
     let put = move |new: Config| {
-        host::log(&format!("the configuration is read again: discovery is at {}", new.discovery));
-        watch.move_to(new.discovery);
+        let classes: Vec<&str> = new.settings.classes.iter().map(|c| c.name.as_str()).collect();
+        let (discovery, classes, tries) = (new.discovery, classes.join(", "), new.settings.try_limit);
+        host::log(&format!(
+            "the configuration is read again: discovery is at {discovery}, classes {classes}, {tries} attempts at most"
+        ));
+        watch.move_to(discovery);
+        core.feed(Input::Settings(Box::new(new.settings)));
+        in_force.replace(new.text);
     };
     actix_rt::spawn(at_each(hangup, read, put));
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
@@ -217,7 +234,7 @@
         0 => usize::MAX,
         mb => ((mb.saturating_sub(BASE_MB) << 20) / CONNECTION_BYTES).max(16) as usize,
     };
-    let front = front::Front { host, settings, boxes, most: (rest - rest / 4).min(room) };
+    let front = front::Front { host, boxes, most: (rest - rest / 4).min(room) };
     front::serve(front, listener, async move {
         term.recv().await;
     })
--- a/src/nbd/front.rs
+++ b/src/nbd/front.rs
@@ -50,11 +50,10 @@
     let or = |span: Duration, other: Duration| if span.is_zero() { other } else { span };
     let connect = or(settings.connect_timeout, Duration::from_millis(250));
     let idle = or(settings.keepalive, Duration::from_secs(5)) * 6 / 10;
-    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let closing = Closing::default();
     // A client's connection may have several to boxes in use.
     let most = (operator.sockets / 4).max(1);
-    let gate = Gate { listener, host: host.clone(), most, longest, closing: closing.clone() };
+    let gate = Gate { listener, host: host.clone(), most, closing: closing.clone() };
     let boxes = Rc::new(Boxes::new(operator.box_export.clone(), connect, idle));
     let memory = Arc::new(Semaphore::new(MEMORY_KIB));
     let shared = Rc::new(Shared { host, operator, boxes, memory });
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -4,8 +4,8 @@
 use super::crowd::{ClientStream, Crowd, Line};
 use super::gate::{Closing, Gate};
 use super::host::{log, Host};
-use crate::broker::{Answer, Ask};
-use crate::interface::{Settings, VolumeId};
+use crate::broker::{Answer, Ask, Broker};
+use crate::interface::VolumeId;
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
 use actix_http::{
@@ -27,8 +27,6 @@
 pub struct Front {
     /// The core.
     pub host: Host,
-    /// What plans and classes there are.
-    pub settings: Settings,
     /// For attempts at boxes.
     pub boxes: Rc<Boxes>,
     /// The most client connections at a time.
@@ -37,12 +35,11 @@
 
 /// Serves until `stop` ends, and then what was taken.
 pub async fn serve(front: Front, listener: TcpListener, stop: impl std::future::Future<Output = ()>) {
-    let Front { host, settings, boxes, most } = front;
+    let Front { host, boxes, most } = front;
     let closing = Closing::default();
-    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let core = host.clone();
-    let gate = Gate { listener, host: host.clone(), most, longest, closing: closing.clone() };
-    let open = Rc::new(Open { host, settings, boxes, longest, traces: RefCell::default() });
+    let gate = Gate { listener, host: host.clone(), most, closing: closing.clone() };
+    let open = Rc::new(Open { host, boxes, traces: RefCell::default() });
     let handler = fn_service(move |request: Request| {
         let open = open.clone();
         async move {
@@ -87,9 +84,7 @@
 /// What all requests share.
 struct Open {
     host: Host,
-    settings: Settings,
     boxes: Rc<Boxes>,
-    longest: Duration,
     traces: RefCell<Traces>,
 }
 
@@ -142,10 +137,10 @@
         if request.method() == Method::GET && !body.is_empty() {
             return turned_away(&line.0, StatusCode::BAD_REQUEST);
         }
-        let Some((ask, trace)) = understand(&request, &self.settings) else {
+        let Some((ask, trace)) = self.host.look(|core| understand(&request, core)) else {
             return turned_away(&line.0, StatusCode::BAD_REQUEST);
         };
-        if !self.traces.borrow_mut().take(&trace, self.longest) {
+        if !self.traces.borrow_mut().take(&trace, self.host.settings().longest()) {
             return turned_away(&line.0, StatusCode::CONFLICT);
         }
         let target = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
@@ -191,7 +186,7 @@
 }
 
 /// The request in the core's terms, and its trace id; `None` where it is malformed.
-fn understand(request: &Request, settings: &Settings) -> Option<(Ask, String)> {
+fn understand(request: &Request, core: &Broker) -> Option<(Ask, String)> {
     let headers = request.headers();
     if ![Method::GET, Method::PUT].contains(request.method()) {
         return None;
@@ -203,19 +198,19 @@
     let placed = |name: &str| {
         place.split(',').find_map(|part| part.trim().strip_prefix(name)?.strip_prefix('=')).map(str::trim)
     };
-    let class = settings.classes.iter().position(|c| c.name == class)?;
+    let (settings, class) = (core.settings(), core.class(class, Instant::now())?);
     let patience = number(text(headers, "X-Expires-In")?).filter(|wait| *wait < 86400.0)?;
     // No client of the class waits longer; the scheduler would take those who do not for late repeats.
-    let (patience, longest) = (Duration::from_secs_f64(patience), settings.classes[class].deadline);
+    let (patience, longest) = (Duration::from_secs_f64(patience), settings.class(class).deadline);
     let patience = if longest.is_zero() { patience } else { patience.min(longest) };
     let shard: i64 = placed("shard")?.parse().ok()?;
     let units = number(placed("units")?)?;
     let hosts = number(placed("hosts")?)?;
     let fits = units > 0.0 && (settings.units_top <= 0.0 || units <= settings.units_top);
     let ask = Ask {
-        class: class as u16,
+        class,
         volume: hex(placed("volume")?)?,
-        plan: settings.plans.iter().position(|p| p.name == plan)? as u16,
+        plan: core.plan(plan)?,
         hosts: Some(hosts).filter(|hosts| fits && (1.0..=65536.0).contains(hosts))?,
         key: hex(key)?,
         shard: if shard == -1 { None } else { Some(u16::try_from(shard).ok()?) },
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -43,8 +43,6 @@
     pub host: Host,
     /// The most connections at a time; more wait in the backlog.
     pub most: usize,
-    /// The longest that any request may be open.
-    pub longest: Duration,
     /// Tells this front's connections to close.
     pub closing: Closing,
 }
@@ -80,7 +78,7 @@
         stop: impl Future<Output = ()>,
         serve: impl Fn(TcpStream) -> F,
     ) {
-        let Gate { listener, host, most, longest, closing } = self;
+        let Gate { listener, host, most, closing } = self;
         let count = Rc::new(Count { open: Cell::new(0), fell: Notify::new() });
         let start = |stream: TcpStream| {
             // Answers are small; waiting to fill a segment would make them late.
@@ -124,6 +122,7 @@
         drop(listener);
         after(stopped_at, IDLE_CLOSES).await;
         closing.tell();
+        let longest = host.settings().longest();
         let whole = tokio::time::timeout(longest + LAST_ANSWERS, count.below(1)).await.is_ok();
         log(&format!("stopped: {}", if whole { "all that was taken is answered" } else { "time ran out" }));
     }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -1,7 +1,7 @@
 //! Carries out what the core asks for: attempts, answers and waits, all on one thread.
 
 use crate::broker::{Answer, Ask, Broker, Effect, Input, Reply};
-use crate::interface::RequestId;
+use crate::interface::{RequestId, Settings};
 use futures_util::future::LocalBoxFuture;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -132,6 +132,11 @@
         true
     }
 
+    /// The settings as they are now.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.look(Broker::settings)
+    }
+
     /// Since when clients are to go elsewhere, if they are.
     pub fn leaves_since(&self) -> Option<Instant> {
         self.look(Broker::drained_since)
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -180,6 +180,7 @@
                 tolerance,
                 weight,
                 price: 1.0,
+                retired: false,
             });
             if contracts.insert(plan_name, number).is_some() {
                 return Err(format!("team {name}: plan {plan} stands twice"));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,7 @@
 /// The settings from an object already read.
 pub fn from(top: Look) -> Result<Settings, Fault> {
     let (limits, domain) = (top.at("limits"), top.at("domain"));
+    let tries = limits.at("try-limit").whole()? as u32;
     Ok(Settings {
         hosts: top.at("balancers").whole()?.clamp(1, 1 << 16) as u32,
         rank: top.at("rank").whole()? as u32,
@@ -19,10 +20,10 @@
         zones: top.at("zones").texts()?,
         step: top.at("step").span()?,
         list_on_request: top.at("membership-mode").text()? == "on_request",
-        classes: top.at("lanes").list()?.into_iter().map(class).collect::<Result<_, _>>()?,
+        classes: top.at("lanes").list()?.into_iter().map(|c| class(c, tries)).collect::<Result<_, _>>()?,
         plans: top.at("plans").list()?.into_iter().map(plan).collect::<Result<_, _>>()?,
         rules: rules(top.at("invariants"))?,
-        try_limit: limits.at("try-limit").whole()? as u32,
+        try_limit: tries,
         second_copies: limits.at("second-copies").yes()?,
         peers: limits.at("peers").yes()?,
         probes: limits.at("probes").yes()?,
@@ -41,7 +42,7 @@
     })
 }
 
-fn class(lane: Look) -> Result<Class, Fault> {
+fn class(lane: Look, tries: u32) -> Result<Class, Fault> {
     Ok(Class {
         name: lane.at("name").text()?.into(),
         aim: lane.at("aim").span()?,
@@ -60,6 +61,8 @@
         },
         memory: lane.at("memory-span").span()?,
         ordered: lane.at("keep-order").yes()?,
+        tries,
+        retired: false,
     })
 }
 
@@ -73,6 +76,7 @@
         tolerance: plan.at("tolerance").real()?,
         weight: plan.at("shares").number()?.unwrap_or(1.0),
         price: plan.at("price").number()?.unwrap_or(1.0),
+        retired: false,
     })
 }
 
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -71,6 +71,40 @@
     }
 }
 
+/// Numbers of classes stood for other classes once a new file dropped one.
+#[test]
+fn an_open_request_keeps_the_rules_it_came_under() {
+    let mut told = Told::new();
+    told.list(Readiness::Ready);
+    let failed = || Reply::none(End::BoxError);
+    let sends = |effects: &[Effect]| effects.iter().any(|e| matches!(e, Effect::Send { .. }));
+    assert!(sends(&told.at(2 * MS, Input::Arrived(1, ask(0)))));
+    let older = told.broker.settings();
+    let named = |name: &str, class: &Class| Class { name: name.into(), ..class.clone() };
+    let [safe, unsafe_] = [0, 1].map(|n| older.class(n));
+    // The first class is dropped; one of another name and effect stands in its place, with a single attempt.
+    let newer = Settings {
+        classes: vec![named("new", &unsafe_), Class { tries: 1, ..named("once", &safe) }],
+        ..Settings::clone(&older)
+    };
+    told.at(3 * MS, Input::Settings(Box::new(newer.clone())));
+    let (start, class) = (told.start, |told: &Told, name: &str, at| told.broker.class(name, told.start + at));
+    let (new, once) = (class(&told, "new", 4 * MS).unwrap(), class(&told, "once", 4 * MS).unwrap());
+    assert!(told.broker.class("gone", start).is_none() && new != once);
+    assert!(sends(&told.at(5 * MS, Input::Ended(1, 0, failed()))), "a read is repeated, as it came");
+    told.at(6 * MS, Input::Ended(1, 1, Reply::none(End::Whole)));
+    for (id, number, answer) in [(2, new, "Failed"), (3, once, "Refused")] {
+        let at = id as u32 * 1000 * MS;
+        assert!(sends(&told.at(at, Input::Arrived(id, ask(number)))));
+        let effects = told.at(at + MS, Input::Ended(id, 0, failed()));
+        assert!(!sends(&effects));
+        assert!(effects.iter().any(|e| format!("{e:?}").contains(answer)), "{effects:?}");
+    }
+    // The same settings once more add no class.
+    told.at(9000 * MS, Input::Settings(Box::new(newer)));
+    assert_eq!(told.broker.settings().classes.len(), 4);
+}
+
 /// The way back takes time: the answer to a request that a silent box holds leaves before its client does,
 /// and the attempt is given up with it. What the box sends after that is nobody's answer.
 #[test]
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -7,7 +7,7 @@
 fn shaletack(args: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_shaletack"));
     command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
-    for variable in ["NAME", "LISTEN", "DISCOVERY", "CONFIG"] {
+    for variable in ["NAME", "LISTEN", "DISCOVERY", "CONFIG", "MANAGEMENT", "FD"] {
         command.env_remove(format!("ROUTER_{variable}"));
     }
     command
@@ -29,8 +29,8 @@
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
         "known":{{"revision":41,"complete":true,"members":[
             {{"id":"s-5be2a07c","host_port":"127.0.0.1:9","locality":"a","cell":3,"phase":"up","up_since_ms":0}}]}},
-        "settings":{{"lanes":[{{"name":"leitura","deadline":1200000000,"aim":150000000}}],
-            "plans":[{{"name":"basico"}}]}}}}"#
+        "settings":{{"lanes":[{{"name":"leitura","deadline":1200000000,"aim":150000000,"idempotency":"idempotent"}}],
+            "plans":[{{"name":"basico"}}],"limits":{{"try-limit":4}}}}}}"#
     )
 }
 
@@ -131,9 +131,22 @@
         stream
     };
     let mut old = watched(&agents[0]);
-    file("moves.json", "{\"discovery\":");
-    child.signal("-HUP");
-    assert!(lines.any(|l| l.starts_with("the new configuration is not used: ")));
+    let good = text(&places[1]);
+    for bad in [
+        String::new(),
+        good[..good.len() / 2].into(),
+        good.replace("\"aim\":150000000,", ""),
+        good.replace("\"memory_mb\":192,", ""),
+        good.replace("1200000000", "0"),
+        good.replace("1200000000", "\"long\""),
+        good.replace("\"try-limit\":4", "\"try-limit\":-1"),
+    ] {
+        assert_ne!(bad, good);
+        file("moves.json", &bad);
+        child.signal("-HUP");
+        let told = lines.find(|l| l.contains("configuration")).unwrap();
+        assert!(told.starts_with("the new configuration is not used: "), "{told}");
+    }
     file("moves.json", &text(&places[1]));
     child.signal("-HUP");
     let _new = watched(&agents[1]);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -27,6 +27,8 @@
         group: Group::Shard,
         memory: 3 * S,
         ordered: false,
+        tries: 0,
+        retired: false,
     }
 }
 
@@ -41,6 +43,7 @@
         tolerance: 8.0,
         weight: 1.0,
         price: 1.0,
+        retired: false,
     };
     let free = Plan { limit: 0.0, burst: 0.0, tolerance: 0.0, weight: 3.0, ..limited.clone() };
     Settings {
