Let a new version inherit over a Unix socket, take the held listener and share each budget

At fault: TcpListener::bind in main.rs run() on an address that the old process holds. Ruled out: a start that is slow or lacks its configuration; the log ends with 'Address already in use'. Open: ids of requests taken after the will are known to one process only. Red without: a_new_version_takes_over... in tests/cli.rs, with two real processes and one that dies early.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -5,7 +5,9 @@
 use crate::ending::End;
 use crate::interface::*;
 use crate::members::{Member, Members};
+use crate::state::Learnt;
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -63,6 +65,28 @@
     }
 }
 
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Order {
+    /// Take a box out, whatever the list says.
+    Suspend(String),
+    /// Give it back; it may have been started anew meanwhile.
+    Resume(String),
+    /// The clients are to go elsewhere.
+    Drain,
+    /// Take clients again.
+    Activate,
+}
+
+/// What the core leaves to the process that takes its place.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Legacy {
+    revision: u64,
+    heard: BTreeMap<String, Heard>,
+    drained: bool,
+    learnt: Learnt,
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -76,14 +100,12 @@
     List(Members),
     /// Settings to be used from now on; what was taken keeps the rules it came under.
     Settings(Box<Settings>),
-    /// An operator takes a box out, whatever the list says.
-    Suspend(String),
-    /// An operator gives it back; it may have been started anew meanwhile.
-    Resume(String),
-    /// An operator wants the clients to go elsewhere.
-    Drain,
-    /// An operator takes clients again.
-    Activate,
+    /// What an operator asks for.
+    Order(Order),
+    /// What the process before this one leaves, of which this one has the second's part.
+    Inherit(Box<Legacy>, f64),
+    /// This process has so much of every budget; another one has the rest.
+    Part(f64),
     /// A wait is over.
     Woke,
 }
@@ -178,7 +200,7 @@
 }
 
 /// A box that the list named once, and what operators said of it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Heard {
     member: Member,
     suspended: bool,
@@ -200,6 +222,7 @@
     wake: Option<Duration>,
     heard: BTreeMap<String, Heard>,
     drained: Option<Duration>,
+    revision: u64,
     tallies: Vec<(String, Tally)>,
     told_at: Duration,
     ends: BTreeMap<String, u64>,
@@ -222,6 +245,7 @@
             wake: None,
             heard: BTreeMap::new(),
             drained: None,
+            revision: 0,
             told_at: at,
             ends: BTreeMap::new(),
         }
@@ -262,15 +286,17 @@
             }
             Input::List(members) => events.push(self.listed(members, &mut effects)),
             Input::Settings(set) => events.push(self.retune(at, *set)),
-            Input::Suspend(id) => events.extend(self.suspend(at, &id, true, &mut effects)),
-            Input::Resume(id) => events.extend(self.suspend(at, &id, false, &mut effects)),
-            Input::Drain => {
+            Input::Part(part) => events.push(Event::Part(part)),
+            Input::Inherit(legacy, part) => events.extend(self.inherit(at, *legacy, part, &mut effects)),
+            Input::Order(Order::Suspend(id)) => events.extend(self.suspend(at, &id, true, &mut effects)),
+            Input::Order(Order::Resume(id)) => events.extend(self.suspend(at, &id, false, &mut effects)),
+            Input::Order(Order::Drain) => {
                 if self.drained.is_none() {
                     self.drained = Some(at);
                     effects.push(Effect::Log("drained by hand: clients are to go elsewhere".into()));
                 }
             }
-            Input::Activate => {
+            Input::Order(Order::Activate) => {
                 if self.drained.take().is_some() {
                     effects.push(Effect::Log("activated by hand: clients are taken again".into()));
                 }
@@ -408,6 +434,34 @@
         Event::Settings(Box::new(set))
     }
 
+    /// The list's version, as last heard.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// What this core leaves to a process that gets such a part of its budgets.
+    pub fn legacy(&self, part: f64) -> Legacy {
+        let (revision, heard, drained) = (self.revision, self.heard.clone(), self.drained.is_some());
+        Legacy { revision, heard, drained, learnt: self.scheduler.learnt(part) }
+    }
+
+    /// The predecessor heard of the list later than the configuration did, and knows what operators asked.
+    fn inherit(&mut self, at: Duration, legacy: Legacy, part: f64, effects: &mut Vec<Effect>) -> Vec<Event> {
+        let entries = legacy.heard.values().map(|h| h.member.clone()).collect();
+        let members = Members { revision: legacy.revision, kind: ListKind::Cached, entries };
+        let (out, boxes) = (legacy.heard.values().filter(|h| h.suspended).count(), members.entries.len());
+        effects.push(Effect::Log(format!(
+            "inherited: {boxes} boxes of revision {}, {out} suspended, drained: {}",
+            legacy.revision, legacy.drained
+        )));
+        self.heard = legacy.heard;
+        self.drained = legacy.drained.then_some(at);
+        let list = self.listed(members, effects);
+        self.scheduler.step(at, &[list], &mut Vec::new());
+        self.scheduler.inherit(legacy.learnt);
+        vec![Event::Part(part)]
+    }
+
     /// Whether the list ever named a box of that name.
     pub fn knows(&self, id: &str) -> bool {
         self.heard.contains_key(id)
@@ -452,6 +506,7 @@
     }
 
     fn listed(&mut self, members: Members, effects: &mut Vec<Effect>) -> Event {
+        self.revision = members.revision;
         if members.kind != ListKind::Changes {
             self.names.clear();
             self.addresses.clear();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -61,20 +61,48 @@
     armed: Option<Duration>,
     next: Duration,
     acts: Vec<Action>,
+    part: f64, // Of every budget, where another process of this host has the rest.
 }
 
 impl Scheduler {
     /// A host that has just started and knows nothing of an earlier life.
     pub fn new(set: Settings, seed: u64, now: Duration) -> Self {
         let stride = stride(u64::from(set.hosts.max(1)));
-        let mut host =
-            Scheduler { set, seed, now, started: now, lifted_at: now, stride, ..Scheduler::default() };
+        let mut host = Scheduler {
+            set,
+            seed,
+            now,
+            started: now,
+            lifted_at: now,
+            stride,
+            part: 1.0,
+            ..Scheduler::default()
+        };
         // All hosts may start at once: the list's service is not asked by all in the same instant.
         let span = (host.set.hosts * SECOND / 50).min(host.set.rules.ask_within / 4);
         host.ask_at = host.set.list_on_request.then_some(now + host.random_span(span));
         host
     }
 
+    /// What it has learnt and spent, for a process that takes a part of its budgets.
+    pub fn learnt(&self, part: f64) -> Learnt {
+        let mut volumes: Vec<_> = self.volumes.iter().map(|(id, v)| (*id, v.clone())).collect();
+        volumes.iter_mut().for_each(|(_, v)| v.scale_tokens(part));
+        let nodes = self.nodes.iter().map(|(id, n)| (*id, n.clone())).collect();
+        Learnt { started: self.started, volumes, nodes }
+    }
+
+    /// Goes on where another process of this host was; the list of nodes has been told already.
+    pub fn inherit(&mut self, learnt: Learnt) {
+        self.started = learnt.started;
+        self.volumes.extend(learnt.volumes);
+        for (id, node) in learnt.nodes {
+            if let Some(own) = self.nodes.get_mut(&id) {
+                *own = Node { ready: own.ready, gone: own.gone, shard: own.shard, zone: own.zone, ..node };
+            }
+        }
+    }
+
     /// Takes what happened up to `now` and adds what is to be done about it to `actions`.
     pub fn step(&mut self, now: Duration, events: &[Event], actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -103,6 +131,10 @@
                 self.set = Settings::clone(set);
                 self.stride = stride(u64::from(set.hosts.max(1)));
             }
+            Event::Part(part) => {
+                self.volumes.values_mut().for_each(|v| v.scale_tokens((part / self.part).min(1.0)));
+                self.part = *part;
+            }
             Event::Left(id) => self.on_left(*id),
             Event::Timer => {
                 // A host's clock may be coarser than ours: a timer a little early is still the one set.
@@ -627,7 +659,8 @@
     /// What this node may be sent next: the run it is in goes on a little past the window.
     fn offer(&mut self, id: NodeId) -> Option<RequestId> {
         let node = self.nodes.get(&id)?;
-        let (window, held, hold_until) = (node.window.max(1.0).floor(), node.held(), node.hold_until);
+        let window = (node.window * self.part).max(1.0).floor();
+        let (held, hold_until) = (node.held(), node.hold_until);
         if hold_until > self.now {
             self.wake_by(hold_until);
             return None;
@@ -761,11 +794,11 @@
     fn limit_allows(&mut self, id: VolumeId, units: f64) -> bool {
         let now = self.now;
         let Some(volume) = self.volumes.get_mut(&id) else { return false };
-        let missing = if volume.plan.limit > 0.0 { volume.missing(now, units) } else { 0.0 };
+        let missing = if volume.plan.limit > 0.0 { volume.missing(now, units, self.part) } else { 0.0 };
         if missing <= 0.0 {
             return true;
         }
-        let rate = volume.plan.limit * (1.0 - volume.pooled) / volume.hosts;
+        let rate = volume.plan.limit * (1.0 - volume.pooled) / volume.hosts * self.part;
         let wait = span_of((missing / rate * 1e9).clamp(1e6, 1e9));
         self.wake_by(now + wait);
         self.ask_home(id);
@@ -838,7 +871,7 @@
     /// is left to those it has answered, one request each, and the rest is dealt out in turns.
     fn room(&mut self, id: NodeId) -> f64 {
         let Some(node) = self.nodes.get(&id) else { return 0.0 };
-        let (rules, bears) = (&self.set.rules, self.set.cold_bears);
+        let (rules, bears) = (&self.set.rules, self.set.cold_bears * self.part);
         let age = node.born.map_or(FOREVER, |born| self.now.saturating_sub(born));
         let follows = node.relays > 0 && node.relay_until >= self.now;
         if follows || age >= rules.warm_up || rules.start_capacity <= 0.0 || bears <= 0.0 {
@@ -1007,8 +1040,9 @@
     }
 
     /// How many units the buckets lack for a request of this size.
-    fn missing(&mut self, now: Duration, units: f64) -> f64 {
+    fn missing(&mut self, now: Duration, units: f64, whole: f64) -> f64 {
         let limit = self.plan.limit;
+        let full = self.plan.burst * whole;
         let empty = self.slice.tokens < units;
         if now >= self.scaled_at + LEASE || empty && now >= self.scaled_at + LEASE / 4 {
             self.scaled_at = now;
@@ -1020,11 +1054,17 @@
         // The guard of rule 7: whatever the news, no host draws past rate and burst over the host count.
         let (even, own) = (1.0 / self.hosts, 1.0 - self.pooled);
         let cap = self.plan.burst * own + 0.5 * self.plan.tolerance;
-        let sure = self.sure.fill(now, limit * own * even, cap * even) + self.gift(now);
-        let slice = self.slice.fill(now, limit * part, self.plan.burst * part.max(even));
+        let sure = self.sure.fill(now, limit * own * even * whole, cap * even * whole) + self.gift(now);
+        let slice = self.slice.fill(now, limit * part * whole, full * part.max(even));
         units - sure.min(slice)
     }
 
+    fn scale_tokens(&mut self, part: f64) {
+        for bucket in [&mut self.slice, &mut self.sure] {
+            bucket.tokens *= if bucket.tokens > 0.0 { part } else { 1.0 };
+        }
+    }
+
     /// How long given units may be held: the home's store must not fill past the tolerance meanwhile.
     fn hold(&self) -> Duration {
         span_of(0.4 * self.plan.tolerance / (POOLED * self.plan.limit) * 1e9)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,6 +3,7 @@
 //! A point in time is the span since the zero of the host's clock, which never goes backwards. Figures called units are
 //! the sizes of requests, in which reserves, limits and worth are counted.
 
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// The number the host gives a request; never used twice.
@@ -64,7 +65,7 @@
 }
 
 /// One plan; its figures hold for each of its volumes, over all hosts and nodes together.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
     /// Its name.
     pub name: String,
@@ -256,7 +257,7 @@
 }
 
 /// What a node is ready for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Readiness {
     /// Takes work.
     #[default]
@@ -370,6 +371,8 @@
     Attempt(Attempt),
     /// The settings from now on; numbers of classes and plans mean what they meant, and there may be more.
     Settings(Box<Settings>),
+    /// This process has so much of every budget; another one of the same host has the rest.
+    Part(f64),
     /// The client left; no answer is owed any more.
     Left(RequestId),
     /// A timer is due.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,14 +1,17 @@
 //! One real initiator. Bare, it serves; see the sub-commands below.
 
 use lexopt::prelude::*;
+use listenfd::ListenFd;
 use shaletack::broker::{Broker, Clock, Input};
 use shaletack::config::{self, Config};
 use shaletack::etcd;
 use shaletack::interface::{ListKind, Settings};
 use shaletack::members::Members;
 use shaletack::nbd;
+use shaletack::net::front::{self, Traces};
+use shaletack::net::handover::{self, Link, Will};
 use shaletack::net::host::{self, Host};
-use shaletack::net::{boxes, front, management, watch};
+use shaletack::net::{boxes, management, watch};
 use shaletack::operator::{self, Operator};
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
@@ -16,7 +19,8 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Instant, SystemTime};
-use tokio::net::TcpListener;
+use tokio::io::BufReader;
+use tokio::net::{TcpListener, UnixStream};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
 const USAGE: &str = "\
@@ -30,6 +34,9 @@
 /// Descriptors kept for what is neither a client's, an operator's nor a box's connection.
 const SPARE_SOCKETS: usize = 32;
 
+/// The first descriptor that a process can be handed beside the three that each has.
+const FIRST_HELD: usize = 3;
+
 /// What the process needs with no client at all, in MiB.
 const BASE_MB: u64 = 8;
 /// The most that one client's connection holds: a whole body, and the buffers round it.
@@ -51,7 +58,7 @@
 fn main() -> ExitCode {
     let done = match command(lexopt::Parser::from_env()) {
         Ok(Command::Serve(Source::Platform(file))) => {
-            load(file).and_then(|(config, file)| actix_rt::System::new().block_on(run(config, file)))
+            held_socket().and_then(|held| actix_rt::System::new().block_on(serve(file, held)))
         }
         Ok(Command::Serve(Source::Operator(file))) => {
             load_operator(&file).and_then(|o| actix_rt::System::new().block_on(run_nbd(o, file)))
@@ -184,15 +191,70 @@
     Ok(())
 }
 
-async fn run(config: Config, file: String) -> Result<(), String> {
+/// The clients' socket, where whoever starts the program holds it: the descriptor that ROUTER_FD names.
+fn held_socket() -> Result<Option<std::net::TcpListener>, String> {
+    let Ok(text) = std::env::var("ROUTER_FD") else { return Ok(None) };
+    let wrong = || format!("ROUTER_FD: '{text}' is no listening socket");
+    let place = text.parse::<usize>().ok().and_then(|n| n.checked_sub(FIRST_HELD)).ok_or_else(wrong)?;
+    // What listenfd reads; it counts from the first descriptor that a process can be handed.
+    std::env::set_var("LISTEN_FDS", (place + 1).to_string());
+    std::env::remove_var("LISTEN_PID");
+    let socket = ListenFd::from_env().take_tcp_listener(place).ok().flatten().ok_or_else(wrong)?;
+    socket.set_nonblocking(true).map_err(|e| format!("{}: {e}", wrong()))?;
+    Ok(Some(socket))
+}
+
+/// Serves the platform, from where a predecessor is if there is one.
+async fn serve(file: Option<String>, held: Option<std::net::TcpListener>) -> Result<(), String> {
+    let signals = signals()?;
+    let loaded = load(file.clone());
+    let name =
+        std::env::var("ROUTER_NAME").ok().or(loaded.as_ref().ok().map(|(config, _)| config.name.clone()));
+    let heir = match &name {
+        Some(name) => handover::ask(&handover::path(name)).await,
+        None => None,
+    };
+    let (config, file) = match (loaded, &heir) {
+        // The predecessor turned such a file down, and serves by the one before.
+        (Err(fault), Some((will, _))) => {
+            host::log(&format!("the new configuration is not used: {fault}; the predecessor's is"));
+            let config = config::read(&mut will.text.clone().into_bytes(), |name| std::env::var(name).ok())?;
+            (config, file.or_else(|| std::env::var("ROUTER_CONFIG").ok()).ok_or(fault)?)
+        }
+        (loaded, _) => loaded?,
+    };
+    run(config, file, signals, held, heir).await
+}
+
+async fn run(
+    config: Config,
+    file: String,
+    (mut term, hangup): (Signal, Signal),
+    held: Option<std::net::TcpListener>,
+    heir: Option<(Will, BufReader<UnixStream>)>,
+) -> Result<(), String> {
     let Config { name, listen, discovery, management, seed, sockets, memory_mb, known, settings, text } =
         config;
-    let (mut term, hangup) = signals()?;
     let host = start(settings.clone(), seed);
-    let revision = known.revision;
-    host::log(&format!("{name} starts: {} boxes known of revision {revision}", known.entries.len()));
+    host::log(&format!("{name} starts: {} boxes known of revision {}", known.entries.len(), known.revision));
     host.feed(Input::List(known));
-    let mut watch = watch::Watch::start(host.clone(), discovery, revision);
+    let link = Link::new(host.clone(), handover::path(&name));
+    let (traces, ready) = (Rc::new(RefCell::new(Traces::default())), Rc::new(Cell::new(false)));
+    if let Some((will, stream)) = heir {
+        host.feed(Input::Inherit(Box::new(will.legacy), handover::HALF));
+        traces.borrow_mut().inherit(will.traces);
+        link.keep(stream);
+    }
+    // Operators' calls have descriptors of their own, whatever the clients hold.
+    let mut rest = sockets.saturating_sub(SPARE_SOCKETS);
+    if let Some(place) = management {
+        rest = rest.saturating_sub(management::PLACES);
+        let calls = TcpListener::bind(place).await.map_err(|e| format!("management at {place}: {e}"))?;
+        let place = calls.local_addr().map_err(|e| format!("management at {place}: {e}"))?;
+        host::log(&format!("operators call at {place}"));
+        actix_rt::spawn(management::serve(host.clone(), link.clone(), calls, ready.clone()));
+    }
+    let mut watch = watch::Watch::start(host.clone(), discovery, host.look(Broker::revision));
     // The environment tells where discovery was at the start; from a new file on, the file does.
     let unless_moved = |name: &str| (name != "ROUTER_DISCOVERY").then(|| std::env::var(name).ok())?;
     // What is read has to be whole before any of it counts.
@@ -205,7 +267,7 @@
             None => Ok(new),
         }
     };
-    let core = host.clone();
+    let (core, text) = (host.clone(), in_force.clone());
     let put = move |new: Config| {
         let classes: Vec<&str> = new.settings.classes.iter().map(|c| c.name.as_str()).collect();
         let (discovery, classes, tries) = (new.discovery, classes.join(", "), new.settings.try_limit);
@@ -217,24 +279,27 @@
         in_force.replace(new.text);
     };
     actix_rt::spawn(at_each(hangup, read, put));
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
+    let listener = match held {
+        Some(held) => TcpListener::from_std(held),
+        None => TcpListener::bind(listen).await,
+    };
+    let listener = listener.map_err(|e| format!("{listen}: {e}"))?;
     host::log(&format!("{name} listens on {}", listener.local_addr().map_err(|e| format!("{listen}: {e}"))?));
-    // Operators' calls have descriptors of their own, whatever the clients hold.
-    let mut rest = sockets.saturating_sub(SPARE_SOCKETS);
-    if let Some(place) = management {
-        rest = rest.saturating_sub(management::PLACES);
-        let calls = TcpListener::bind(place).await.map_err(|e| format!("management at {place}: {e}"))?;
-        let place = calls.local_addr().map_err(|e| format!("management at {place}: {e}"))?;
-        host::log(&format!("operators call at {place}"));
-        actix_rt::spawn(management::serve(host.clone(), calls, Rc::new(Cell::new(true))));
-    }
     let boxes = boxes::Boxes::new(&settings, rest / 4);
     // Where memory is short there is room for fewer connections than descriptors.
     let room = match memory_mb {
         0 => usize::MAX,
         mb => ((mb.saturating_sub(BASE_MB) << 20) / CONNECTION_BYTES).max(16) as usize,
     };
-    let front = front::Front { host, boxes, most: (rest - rest / 4).min(room) };
+    let (core, ids) = (host.clone(), traces.clone());
+    link.open(move || Will {
+        legacy: core.look(|broker| broker.legacy(handover::HALF)),
+        traces: ids.borrow().all(),
+        text: String::from_utf8_lossy(&text.borrow()).into_owned(),
+    });
+    ready.set(true);
+    let succeeded = Rc::new(move || link.is_shared().then(|| link.leave()).is_some());
+    let front = front::Front { host, boxes, most: (rest - rest / 4).min(room), traces, succeeded };
     front::serve(front, listener, async move {
         term.recv().await;
     })
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -1,10 +1,11 @@
 //! Arithmetic that `src/choice.rs` uses; nothing is decided or tuned here.
 
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Units that come in at a rate, up to a cap.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Bucket {
     pub(crate) tokens: f64,
     pub(crate) at: Duration,
@@ -19,7 +20,7 @@
 }
 
 /// A rate that forgets over a span.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Rate {
     pub(crate) value: f64,
     pub(crate) at: Duration,
@@ -54,7 +55,7 @@
 }
 
 /// Amounts with their times, oldest first.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Recent(VecDeque<(Duration, f64)>);
 
 impl Recent {
--- a/src/members.rs
+++ b/src/members.rs
@@ -2,11 +2,12 @@
 
 use crate::interface::{ListKind, Readiness};
 use crate::json::{self, Fault, Look};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// One disk box as listed.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// Its name, alike at every initiator.
     pub id: String,
--- a/src/nbd/front.rs
+++ b/src/nbd/front.rs
@@ -53,7 +53,8 @@
     let closing = Closing::default();
     // A client's connection may have several to boxes in use.
     let most = (operator.sockets / 4).max(1);
-    let gate = Gate { listener, host: host.clone(), most, closing: closing.clone() };
+    let gate =
+        Gate { listener, host: host.clone(), most, closing: closing.clone(), succeeded: Rc::new(|| false) };
     let boxes = Rc::new(Boxes::new(operator.box_export.clone(), connect, idle));
     let memory = Arc::new(Semaphore::new(MEMORY_KIB));
     let shared = Rc::new(Shared { host, operator, boxes, memory });
--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -33,6 +33,8 @@
 /// a request from the second on: newcomers stop 0.3 s after the first no, and at 4 s no connection may be idle
 /// or have had a request in 2 s.
 const LEAVE: (Duration, Duration) = (Duration::from_millis(1000), Duration::from_millis(1600));
+/// The same where a successor takes the newcomers: what is asked more than 0.7 s after SIGTERM may be cut off.
+const SUCCEEDED: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(600));
 /// On a connection that rested so long the next request is not expected just now.
 const LEAVE_REST: Duration = Duration::from_millis(250);
 /// A head, with what of its body is read along with it.
@@ -123,10 +125,11 @@
 
     /// Whether it may go while clients are to go elsewhere, which began so long ago: long after the last
     /// newcomer those that rest, and a little later all without a request.
-    fn may_leave(&self, now: Instant, ago: Duration) -> bool {
+    fn may_leave(&self, now: Instant, since: Instant, leave: (Duration, Duration)) -> bool {
+        let ago = now.saturating_duration_since(since);
         let rest = now.saturating_duration_since(self.since.get());
         match self.stage.get() {
-            Stage::Fresh | Stage::Idle => ago > LEAVE.1 || ago > LEAVE.0 && rest > LEAVE_REST,
+            Stage::Fresh | Stage::Idle => ago > leave.1 || ago > leave.0 && rest > LEAVE_REST,
             _ => false,
         }
     }
@@ -174,10 +177,13 @@
             let now = Instant::now();
             let mut lines = self.0.borrow_mut();
             lines.retain(|line| line.strong_count() > 0);
-            let (open, full) = (lines.len(), lines.len() >= most);
-            if let Some(since) = host.leaves_since() {
-                let ago = now.saturating_duration_since(since);
-                let leaving = lines.iter().filter_map(Weak::upgrade).filter(|l| l.may_leave(now, ago));
+            // Nobody waits for a place of a process that another one has succeeded.
+            let most = (most as f64 * host.part()).ceil() as usize;
+            let (open, full) = (lines.len(), lines.len() >= most && host.succeeded_since().is_none());
+            let succeeded = host.succeeded_since().map(|since| (since, SUCCEEDED));
+            if let Some((since, leave)) = succeeded.or(host.leaves_since().map(|since| (since, LEAVE))) {
+                let leaving =
+                    lines.iter().filter_map(Weak::upgrade).filter(|l| l.may_leave(now, since, leave));
                 leaving.for_each(|line| line.end_quietly());
             } else {
                 lines.iter().filter_map(Weak::upgrade).for_each(|line| line.ends.set(false));
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -31,20 +31,24 @@
     pub boxes: Rc<Boxes>,
     /// The most client connections at a time.
     pub most: usize,
+    /// The ids of requests.
+    pub traces: Rc<RefCell<Traces>>,
+    /// Asked at the stop: whether another process takes the clients from now on.
+    pub succeeded: Rc<dyn Fn() -> bool>,
 }
 
 /// Serves until `stop` ends, and then what was taken.
 pub async fn serve(front: Front, listener: TcpListener, stop: impl std::future::Future<Output = ()>) {
-    let Front { host, boxes, most } = front;
+    let Front { host, boxes, most, traces, succeeded } = front;
     let closing = Closing::default();
     let core = host.clone();
-    let gate = Gate { listener, host: host.clone(), most, closing: closing.clone() };
-    let open = Rc::new(Open { host, boxes, traces: RefCell::default() });
+    let gate = Gate { listener, host: host.clone(), most, closing: closing.clone(), succeeded };
+    let open = Rc::new(Open { host, boxes, traces });
     let handler = fn_service(move |request: Request| {
         let open = open.clone();
         async move {
             let mut response = open.handle(request).await;
-            if open.host.leaves_since().is_some() {
+            if open.host.leaves_since().or(open.host.succeeded_since()).is_some() {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
             Ok::<_, Infallible>(response)
@@ -85,18 +89,33 @@
 struct Open {
     host: Host,
     boxes: Rc<Boxes>,
-    traces: RefCell<Traces>,
+    traces: Rc<RefCell<Traces>>,
 }
 
 /// The ids of requests, from the time that each was taken and for as long as any can be open. Each request
 /// has its own: a second one under it would be taken for the first by a box.
 #[derive(Default)]
-struct Traces {
+pub struct Traces {
     taken: HashSet<String>,
     order: VecDeque<(Instant, String)>,
 }
 
 impl Traces {
+    /// All of them, and how long ago each was taken.
+    pub fn all(&self) -> Vec<(Duration, String)> {
+        self.order.iter().map(|(at, id)| (at.elapsed(), id.clone())).collect()
+    }
+
+    /// Those of a predecessor.
+    pub fn inherit(&mut self, traces: Vec<(Duration, String)>) {
+        let now = Instant::now();
+        for (ago, id) in traces {
+            if self.taken.insert(id.clone()) {
+                self.order.push_back((now.checked_sub(ago).unwrap_or(now), id));
+            }
+        }
+    }
+
     fn take(&mut self, id: &str, longest: Duration) -> bool {
         let now = Instant::now();
         while self.order.front().is_some_and(|(at, _)| now > *at + 2 * longest) {
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -45,6 +45,8 @@
     pub most: usize,
     /// Tells this front's connections to close.
     pub closing: Closing,
+    /// Asked at the stop: whether another process takes the clients from now on.
+    pub succeeded: Rc<dyn Fn() -> bool>,
 }
 
 struct Count {
@@ -63,9 +65,10 @@
 }
 
 impl Count {
-    async fn below(&self, most: usize) {
-        while self.open.get() >= most {
-            self.fell.notified().await;
+    async fn below(&self, most: impl Fn() -> usize) {
+        while self.open.get() >= most() {
+            // The most may change without a place given back.
+            let _ = tokio::time::timeout(Duration::from_millis(100), self.fell.notified()).await;
         }
     }
 }
@@ -78,7 +81,7 @@
         stop: impl Future<Output = ()>,
         serve: impl Fn(TcpStream) -> F,
     ) {
-        let Gate { listener, host, most, closing } = self;
+        let Gate { listener, host, most, closing, succeeded } = self;
         let count = Rc::new(Count { open: Cell::new(0), fell: Notify::new() });
         let start = |stream: TcpStream| {
             // Answers are small; waiting to fill a segment would make them late.
@@ -94,7 +97,7 @@
         let mut stopped_at: Option<Instant> = None;
         loop {
             let accepted = async {
-                count.below(most).await;
+                count.below(|| (most as f64 * host.part()).ceil() as usize).await;
                 listener.accept().await
             };
             tokio::select! {
@@ -106,6 +109,11 @@
                     }
                 },
                 () = &mut stop, if stopped_at.is_none() => {
+                    if succeeded() {
+                        log(&format!("a successor takes over: {} connections, {} requests open", count.open.get(), host.open()));
+                        host.succeed();
+                        break;
+                    }
                     log(&format!("stopping: {} connections, {} requests open", count.open.get(), host.open()));
                     host.stop();
                     stopped_at = Some(Instant::now());
@@ -114,16 +122,19 @@
             }
         }
         // What waits in the backlog was taken: a closed listener would reset it.
-        while let Ok(Ok((stream, _))) =
-            tokio::time::timeout(Duration::from_millis(1), listener.accept()).await
-        {
+        // A successor listens on the same socket, and what waits there is its own.
+        while host.succeeded_since().is_none() {
+            let waiting = tokio::time::timeout(Duration::from_millis(1), listener.accept()).await;
+            let Ok(Ok((stream, _))) = waiting else { break };
             start(stream);
         }
         drop(listener);
-        after(stopped_at, IDLE_CLOSES).await;
-        closing.tell();
+        if host.succeeded_since().is_none() {
+            after(stopped_at, IDLE_CLOSES).await;
+            closing.tell();
+        }
         let longest = host.settings().longest();
-        let whole = tokio::time::timeout(longest + LAST_ANSWERS, count.below(1)).await.is_ok();
+        let whole = tokio::time::timeout(longest + LAST_ANSWERS, count.below(|| 1)).await.is_ok();
         log(&format!("stopped: {}", if whole { "all that was taken is answered" } else { "time ran out" }));
     }
 }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -1,6 +1,6 @@
 //! Carries out what the core asks for: attempts, answers and waits, all on one thread.
 
-use crate::broker::{Answer, Ask, Broker, Effect, Input, Reply};
+use crate::broker::{Answer, Ask, Broker, Effect, Input, Order, Reply};
 use crate::interface::{RequestId, Settings};
 use futures_util::future::LocalBoxFuture;
 use std::cell::{Cell, RefCell};
@@ -31,6 +31,8 @@
     wake: Cell<Option<Instant>>,
     rearm: Notify,
     stopping: Cell<bool>,
+    succeeded: Cell<Option<Instant>>,
+    part: Cell<f64>,
 }
 
 /// The core and its loop, shared by the fronts.
@@ -48,6 +50,8 @@
             wake: Cell::new(None),
             rearm: Notify::new(),
             stopping: Cell::new(false),
+            succeeded: Cell::new(None),
+            part: Cell::new(1.0),
         }));
         actix_rt::spawn(host.clone().keep_time());
         host
@@ -55,6 +59,9 @@
 
     /// Gives the core an input and carries out what it asks for.
     pub fn feed(&self, input: Input) {
+        if let Input::Part(part) | Input::Inherit(_, part) = &input {
+            self.0.part.set(*part);
+        }
         let effects = self.0.broker.borrow_mut().step(Instant::now(), input);
         for effect in effects {
             match effect {
@@ -122,13 +129,13 @@
     }
 
     /// Carries out what an operator asks for; no, where it names a box that was never listed.
-    pub fn order(&self, order: Input) -> bool {
-        if let Input::Suspend(id) | Input::Resume(id) = &order {
+    pub fn order(&self, order: Order) -> bool {
+        if let Order::Suspend(id) | Order::Resume(id) = &order {
             if !self.look(|broker| broker.knows(id)) {
                 return false;
             }
         }
-        self.feed(order);
+        self.feed(Input::Order(order));
         true
     }
 
@@ -137,6 +144,22 @@
         self.look(Broker::settings)
     }
 
+    /// This process's part of every budget.
+    pub fn part(&self) -> f64 {
+        self.0.part.get()
+    }
+
+    /// From now on this process is on its way out and another one takes the clients.
+    pub fn succeed(&self) {
+        self.stop();
+        self.0.succeeded.set(Some(Instant::now()));
+    }
+
+    /// Since when another process takes the clients, where one does.
+    pub fn succeeded_since(&self) -> Option<Instant> {
+        self.0.succeeded.get()
+    }
+
     /// Since when clients are to go elsewhere, if they are.
     pub fn leaves_since(&self) -> Option<Instant> {
         self.look(Broker::drained_since)
--- a/src/net/management.rs
+++ b/src/net/management.rs
@@ -1,7 +1,8 @@
 //! The operators' address: one call on each connection, beside the clients' front and never behind its gate.
 
+use super::handover::Link;
 use super::host::{log, Host};
-use crate::broker::Input;
+use crate::broker::Order;
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use actix_service::{fn_service, Service, ServiceFactory};
@@ -27,7 +28,7 @@
     /// Whether this process takes clients.
     Ready,
     /// A change of the core.
-    Order(Input),
+    Order(Order),
 }
 
 /// A call as its path names it; `Err` says why it is none.
@@ -35,10 +36,10 @@
     let parts: Vec<&str> = path.split('/').skip(1).collect();
     let (call, wants) = match parts[..] {
         ["v1", "readyz"] => (Call::Ready, Method::GET),
-        ["v1", "targets", id, "suspend"] => (Call::Order(Input::Suspend(id.into())), Method::POST),
-        ["v1", "targets", id, "resume"] => (Call::Order(Input::Resume(id.into())), Method::POST),
-        ["v1", "initiator", "drain"] => (Call::Order(Input::Drain), Method::POST),
-        ["v1", "initiator", "activate"] => (Call::Order(Input::Activate), Method::POST),
+        ["v1", "targets", id, "suspend"] => (Call::Order(Order::Suspend(id.into())), Method::POST),
+        ["v1", "targets", id, "resume"] => (Call::Order(Order::Resume(id.into())), Method::POST),
+        ["v1", "initiator", "drain"] => (Call::Order(Order::Drain), Method::POST),
+        ["v1", "initiator", "activate"] => (Call::Order(Order::Activate), Method::POST),
         _ => return Err(StatusCode::NOT_FOUND),
     };
     if *method == wants {
@@ -48,24 +49,34 @@
     }
 }
 
-fn answer(host: &Host, ready: &Cell<bool>, request: &Request) -> (StatusCode, &'static str) {
+async fn answer(
+    host: &Host,
+    link: &Link,
+    ready: &Cell<bool>,
+    request: &Request,
+) -> (StatusCode, &'static str) {
     match understand(request.method(), request.path()) {
         Err(StatusCode::NOT_FOUND) => (StatusCode::NOT_FOUND, "there is no such call\n"),
         Err(status) => (status, "another method is wanted\n"),
         Ok(Call::Ready) if ready.get() && !host.is_stopping() => (StatusCode::OK, "ready\n"),
         Ok(Call::Ready) => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        // In force before the answer leaves.
-        Ok(Call::Order(order)) if host.order(order.clone()) => (StatusCode::OK, "done\n"),
-        Ok(Call::Order(_)) => (StatusCode::NOT_FOUND, "no such target was ever listed\n"),
+        // In force before the answer leaves, in both processes where there are two.
+        Ok(Call::Order(order)) => {
+            let here = host.order(order.clone());
+            match link.tell(order).await || here {
+                true => (StatusCode::OK, "done\n"),
+                false => (StatusCode::NOT_FOUND, "no such target was ever listed\n"),
+            }
+        }
     }
 }
 
 /// Answers calls for as long as the program runs; `ready` says whether clients are taken.
-pub async fn serve(host: Host, listener: TcpListener, ready: Rc<Cell<bool>>) {
+pub async fn serve(host: Host, link: Link, listener: TcpListener, ready: Rc<Cell<bool>>) {
     let handler = fn_service(move |request: Request| {
-        let (host, ready) = (host.clone(), ready.clone());
+        let (host, link, ready) = (host.clone(), link.clone(), ready.clone());
         async move {
-            let (status, text) = answer(&host, &ready, &request);
+            let (status, text) = answer(&host, &link, &ready, &request).await;
             let response = Response::build(status).force_close().body(text).map_into_boxed_body();
             Ok::<_, Infallible>(response)
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod crowd;
 pub mod front;
 pub mod gate;
+pub mod handover;
 pub mod host;
 pub mod lines;
 pub mod management;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,17 +2,19 @@
 
 use crate::interface::*;
 use crate::measure::{Bucket, Rate, Recent};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 pub(crate) type Lane = (VolumeId, u16); // a volume's requests of one class
 pub(crate) type Queue = BTreeSet<(Duration, RequestId)>; // by the time their aim passes
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Volume {
     pub(crate) plan: Plan,
     pub(crate) hosts: f64,
     pub(crate) tag: f64, // Vt: units sent from here over the plan's weight.
+    #[serde(skip)]
     pub(crate) held: usize,
     pub(crate) demand: Rate,
     pub(crate) served: Rate,
@@ -25,6 +27,7 @@
     pub(crate) slice: Bucket,
     pub(crate) sure: Bucket,
     pub(crate) pooled: f64, // Part of the limit that the volume's home deals out.
+    #[serde(skip)]
     pub(crate) asked: Option<(u32, Duration)>,
     pub(crate) given: f64, // Units from the home, to be spent by then.
     pub(crate) given_until: Duration,
@@ -71,7 +74,15 @@
     pub(crate) missed: bool,   // Taken for lost on the way.
 }
 
-#[derive(Clone, Debug, Default)]
+/// What a host has learnt and spent, for the process that takes its place.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Learnt {
+    pub(crate) started: Duration,
+    pub(crate) volumes: Vec<(VolumeId, Volume)>,
+    pub(crate) nodes: Vec<(NodeId, Node)>,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Node {
     pub(crate) zone: u16,
     pub(crate) shard: u16,
@@ -80,6 +91,7 @@
     pub(crate) born: Option<Duration>, // When it started, as listed or as guessed from failures; `None`: long ago.
     pub(crate) listed: Option<Duration>,
     pub(crate) broke_at: Option<Duration>, // When its connections broke and nothing else was seen yet.
+    #[serde(skip)]
     pub(crate) out: Vec<Out>,
     pub(crate) quiet: u32,   // Very late attempts since the last answer.
     pub(crate) unheard: u32, // Time-outs since the last answer.
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -169,3 +169,96 @@
     assert!(child.0.wait().unwrap().success());
     assert!(lines.any(|l| l == "stopped: all that was taken is answered"));
 }
+
+/// Starts a version of the program on a clients' socket that the test holds, as the platform does.
+fn version(
+    held: &TcpListener,
+    folder: &std::path::Path,
+    config: &str,
+) -> (Running, impl Iterator<Item = String>, String) {
+    // The shell hands its standard input on as the first descriptor beside the usual three.
+    let mut command = Command::new("/bin/sh");
+    let held: std::os::fd::OwnedFd = held.try_clone().unwrap().into();
+    command.args([
+        "-c",
+        "exec 3<&0 </dev/null; exec \"$0\" \"$@\"",
+        env!("CARGO_BIN_EXE_shaletack"),
+        "--config",
+    ]);
+    command.arg(config).env("ROUTER_FD", "3").env("TMPDIR", folder).env("ROUTER_MANAGEMENT", "127.0.0.1:0");
+    command.env("ROUTER_NAME", "n3").stdin(Stdio::from(held)).stdout(Stdio::null()).stderr(Stdio::piped());
+    let mut child = Running(command.spawn().unwrap());
+    let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
+    let mut told = Vec::new();
+    while !told.last().is_some_and(|l: &String| l.starts_with("operators call at ")) {
+        told.push(lines.next().expect("it says where"));
+    }
+    let place = told.pop().unwrap().rsplit(' ').next().unwrap().to_owned();
+    (child, told.into_iter().chain(lines), place)
+}
+
+/// One exchange: status, and whether the connection is kept.
+fn exchange(stream: &mut TcpStream, request: &str) -> (u16, bool) {
+    stream.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+    stream.write_all(format!("{request} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes()).unwrap();
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap().to_lowercase();
+    let length = head
+        .split_once("content-length: ")
+        .map_or(0, |(_, v)| v.split("\r\n").next().unwrap().parse().unwrap());
+    stream.read_exact(&mut vec![0; length]).unwrap();
+    (head[9..12].parse().unwrap(), !head.contains("connection: close"))
+}
+
+/// A second version could not bind what the first one holds; and it must know what operators told the first.
+#[test]
+fn a_new_version_takes_over_on_the_same_socket_and_knows_what_the_old_was_told() {
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let place = held.local_addr().unwrap();
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("over-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    // What a predecessor that was killed leaves is no predecessor.
+    drop(std::os::unix::net::UnixListener::bind(folder.join("shaletack-n3.sock")).unwrap());
+    let good = file("over.json", &config("127.0.0.1:1", "1"));
+    let call = |at: &str, call: &str| exchange(&mut TcpStream::connect(at).unwrap(), call).0;
+    let ready = |at: &str| while call(at, "GET /v1/readyz") != 200 {};
+    let health = |client: &mut TcpStream| exchange(client, "GET /_health");
+    let (mut old, mut old_lines, old_place) = version(&held, &folder, &good);
+    ready(&old_place);
+    let mut kept = TcpStream::connect(place).unwrap();
+    assert_eq!(health(&mut kept), (200, true));
+    assert_eq!(call(&old_place, "POST /v1/targets/s-5be2a07c/suspend"), 200);
+    // One that dies early leaves the old one serving, and found by the next.
+    let (dies, _, early) = version(&held, &folder, &good);
+    ready(&early);
+    drop(dies);
+    assert!(old_lines.any(|l| l.starts_with("the other process is gone")));
+    // What the old one turned down at SIGHUP must not stop the new one.
+    let cut = file("over-cut.json", "{\"name\":");
+    let (_new, mut lines, new_place) = version(&held, &folder, &cut);
+    ready(&new_place);
+    let inherited = lines.find(|l| l.starts_with("inherited: ")).unwrap();
+    assert!(inherited.contains("1 boxes of revision 41, 1 suspended, drained: false"), "{inherited}");
+    // A call to either binds both.
+    assert_eq!(call(&new_place, "POST /v1/initiator/drain"), 200);
+    assert_eq!(health(&mut kept), (503, false));
+    assert_eq!(call(&old_place, "POST /v1/initiator/activate"), 200);
+    assert_eq!(call(&old_place, "POST /v1/targets/s-0badf00d/resume"), 404);
+    assert_eq!(call(&old_place, "POST /v1/targets/s-5be2a07c/resume"), 200);
+    assert!(lines.any(|l| l == "s-5be2a07c is resumed, cold, by hand"));
+    let mut kept: Vec<_> = (0..8).map(|_| TcpStream::connect(place).unwrap()).collect();
+    kept.iter_mut().for_each(|client| assert_eq!(health(client), (200, true)));
+    old.signal("-TERM");
+    assert!(old_lines.any(|l| l.starts_with("a successor takes over: ")));
+    // Nothing that waits or comes is refused, and what the old one holds ends with an answer or at rest.
+    assert_eq!(health(&mut TcpStream::connect(place).unwrap()), (200, true));
+    assert!(old.0.wait().unwrap().success());
+    assert!(lines.any(|l| l.starts_with("the other process is gone")));
+    assert_eq!(health(&mut TcpStream::connect(place).unwrap()), (200, true));
+}
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -361,7 +361,13 @@
     let (core, stop) = (host(&settings), Rc::new(Notify::new()));
     core.feed(Input::List(boxes));
     let boxes = shaletack::net::boxes::Boxes::new(&settings, 16);
-    let front = shaletack::net::front::Front { host: core.clone(), boxes, most: 16 };
+    let front = shaletack::net::front::Front {
+        host: core.clone(),
+        boxes,
+        most: 16,
+        traces: Rc::default(),
+        succeeded: Rc::new(|| false),
+    };
     let until = stop.clone();
     actix_rt::spawn(async move { shaletack::net::front::serve(front, listener, until.notified()).await });
     (address, stop, core)
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::net::*;
 use shaletack::broker::Input;
+use shaletack::net::handover::{self, Link};
 use shaletack::net::management;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -12,7 +13,8 @@
 
 async fn operators(host: &shaletack::net::host::Host) -> SocketAddr {
     let (listener, address) = loopback().await;
-    actix_rt::spawn(management::serve(host.clone(), listener, Rc::new(Cell::new(true))));
+    let link = Link::new(host.clone(), handover::path("nobody"));
+    actix_rt::spawn(management::serve(host.clone(), link, listener, Rc::new(Cell::new(true))));
     address
 }
 
