Read answers of every form, and pass those over 64 KiB on as they come

At fault: read() in net/boxes.rs (stated length of 64 KiB at most, 0.25 s between pieces) and head() in net/stream.rs, which called an answer without a length spoilt. Red without: answers_of_every_form_and_size_pass_and_a_cut_one_shows in tests/daily.rs.

--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -9,24 +9,30 @@
 use actix_http::{Method, StatusCode};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError as TcpError, ConnectInfo, Connection};
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::Uri;
 use awc::{Client, ClientResponse, Connector};
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{FutureExt, LocalBoxFuture};
+use futures_util::stream::LocalBoxStream;
 use futures_util::{Stream, StreamExt};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// The most that a request's or an answer's body may hold.
 pub const BODY_MOST: usize = 64 * 1024;
-/// A box's answer comes in one piece or nearly so; one that stops on the way so long is spoilt.
-const STALLED: Duration = Duration::from_millis(250);
+/// The most that an answer may hold: what says more, or goes on past it, is spoilt.
+const ANSWER_MOST: u64 = 40 << 20;
+/// An answer that is held whole and stops so long on its way is spoilt.
+const STALLED: Duration = Duration::from_millis(1000);
+/// One that is passed on as it comes may stop longer: its client has what came, and knows that there is more.
+const RESTS: Duration = Duration::from_secs(10);
 /// Before a connection is used again: what a box sends behind an answer has come by then, and shows.
 const SETTLES: Duration = Duration::from_millis(2);
 /// Above this no box tells the truth about use, in parts of a plan's rate, or about units served elsewhere.
@@ -40,7 +46,7 @@
     idle: Duration,
     idling: Rc<Idling>,
     connect: Duration,
-    permits: Semaphore,
+    permits: Arc<Semaphore>,
 }
 
 impl Boxes {
@@ -54,7 +60,7 @@
             idle,
             idling: Rc::new(Idling::new(idle)),
             connect: or(set.connect_timeout, Duration::from_millis(250)),
-            permits: Semaphore::new(most),
+            permits: Arc::new(Semaphore::new(most)),
         })
     }
 
@@ -109,6 +115,42 @@
     pub trace: String,
     /// The whole body; `None` where there was none.
     pub body: Option<Bytes>,
+    /// Of a large answer, what is to be passed on as it comes.
+    pub rest: Rc<RefCell<Option<Rest>>>,
+}
+
+/// A large answer, from its first bytes on.
+pub struct Rest {
+    /// How long it is, where that is stated.
+    pub stated: Option<u64>,
+    first: Option<Bytes>,
+    came: u64,
+    body: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+impl Rest {
+    /// The next bytes as the box gives them; an error is one that the client must be able to tell.
+    pub async fn next(&mut self) -> Option<Result<Bytes, PayloadError>> {
+        let next = match self.first.take() {
+            Some(first) => Some(Ok(first)),
+            None => match tokio::time::timeout(RESTS, self.body.next()).await {
+                Ok(next) => next,
+                Err(_) => Some(Err(PayloadError::Incomplete(None))),
+            },
+        };
+        match next {
+            Some(Ok(bytes)) => {
+                self.came += bytes.len() as u64;
+                let most = self.stated.unwrap_or(ANSWER_MOST);
+                Some(if self.came > most { Err(PayloadError::Overflow) } else { Ok(bytes) })
+            }
+            None if self.stated.is_some_and(|stated| self.came < stated) => {
+                Some(Err(PayloadError::Incomplete(None)))
+            }
+            other => other,
+        }
+    }
 }
 
 impl Errand for Passed {
@@ -119,16 +161,16 @@
             .request(self.method.clone(), format!("http://{to}{}", self.target))
             .insert_header(("X-Trace-Id", self.trace.clone()))
             .insert_header(("X-Expires-In", format!("{:.3}", wait.as_secs_f64())));
-        let body = self.body.clone();
+        let (body, rest) = (self.body.clone(), self.rest.clone());
         async move {
             // Never closed; each is given back when its attempt ends, by whatever.
-            let _permit = boxes.permits.acquire().await;
+            let permit = boxes.permits.clone().acquire_owned().await.ok();
             let sent = match body {
                 Some(body) => request.send_body(body),
                 None => request.send(),
             };
             match sent.await {
-                Ok(response) => read(response).await,
+                Ok(response) => read(response, permit, &rest).await,
                 Err(error) => Reply::none(end_of(&error)),
             }
         }
@@ -159,13 +201,17 @@
     text?.parse().ok().filter(|n| (0.0..=most).contains(n))
 }
 
-async fn read<S>(mut response: ClientResponse<S>) -> Reply
+async fn read<S>(
+    mut response: ClientResponse<S>,
+    permit: Option<OwnedSemaphorePermit>,
+    rest: &RefCell<Option<Rest>>,
+) -> Reply
 where
     S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
     let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok()).map(str::trim);
     let never_ran = header("X-Never-Ran") == Some("1");
-    let stated: Option<usize> = header("Content-Length").and_then(|v| v.parse().ok());
+    let stated: Option<u64> = header("Content-Length").and_then(|v| v.parse().ok());
     let used = figure(header("X-Iops-Used"), 100.0 * USED_MOST).map(|percent| percent / 100.0);
     let elsewhere = figure(header("X-Rho"), ELSEWHERE_MOST).unwrap_or(0.0);
     let end = match response.status() {
@@ -174,21 +220,40 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => End::TurnedAway,
         _ => End::Strange,
     };
-    // Only a stated length tells a whole body: awc ends one that breaks off as if it were whole.
-    let Some(stated) = stated.filter(|n| *n <= BODY_MOST) else { return Reply::none(End::UnboundedAnswer) };
-    let mut body = BytesMut::with_capacity(stated);
-    while body.len() < stated {
+    if stated.is_some_and(|n| n > ANSWER_MOST) {
+        return Reply::none(End::UnboundedAnswer);
+    }
+    let held = |stated: u64| end != End::Whole || stated <= BODY_MOST as u64;
+    let whole = |stated: u64, came: usize| came as u64 >= stated;
+    let mut body = BytesMut::new();
+    loop {
+        if stated.is_some_and(|n| whole(n, body.len()) && held(n)) {
+            // awc keeps the connection once its stream is read to the end.
+            actix_rt::spawn(async move {
+                tokio::time::sleep(SETTLES).await;
+                while response.next().await.is_some() {}
+            });
+            break;
+        }
         match tokio::time::timeout(STALLED, response.next()).await {
             Ok(Some(Ok(chunk))) => body.extend_from_slice(&chunk),
+            Ok(None) if stated.is_none() => break,
             Ok(None) => return Reply::none(End::HalfAnswer),
+            Ok(Some(Err(PayloadError::Io(why)))) if why.kind() != std::io::ErrorKind::InvalidData => {
+                return Reply::none(End::HalfAnswer)
+            }
             Ok(Some(Err(_))) | Err(_) => return Reply::none(End::SpoiltAnswer),
         }
+        // What is larger goes on past the core from its first bytes on.
+        if stated.is_some_and(|n| !held(n)) || body.len() > BODY_MOST {
+            if end != End::Whole {
+                return Reply::none(End::UnboundedAnswer);
+            }
+            let (first, body) = (Some(body.freeze()), response.boxed_local());
+            rest.replace(Some(Rest { stated, first, came: 0, body, _permit: permit }));
+            return Reply { end, body: Bytes::new(), used, elsewhere };
+        }
     }
-    // awc keeps the connection once its stream is read to the end.
-    actix_rt::spawn(async move {
-        tokio::time::sleep(SETTLES).await;
-        while response.next().await.is_some() {}
-    });
     let body = if end == End::Whole { body.freeze() } else { Bytes::new() };
     Reply { end, body, used, elsewhere }
 }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,19 +1,19 @@
 //! The platform's front: HTTP/1.1 to clients, with actix-http.
 
-use super::boxes::{Boxes, Passed, BODY_MOST};
+use super::boxes::{Boxes, Passed, Rest, BODY_MOST};
 use super::crowd::{ClientStream, Crowd, Line};
 use super::gate::{Closing, Gate};
 use super::host::{log, Host};
 use crate::broker::{Answer, Ask, Broker};
 use crate::interface::VolumeId;
-use actix_http::body::BoxBody;
+use actix_http::body::{BodyStream, BoxBody, SizedStream};
 use actix_http::header::HeaderMap;
 use actix_http::{
     ConnectionType, Extensions, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
 };
 use actix_service::{fn_service, Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use futures_util::{stream, StreamExt};
 use std::cell::RefCell;
 use std::collections::{HashSet, VecDeque};
 use std::convert::Infallible;
@@ -166,10 +166,14 @@
         // A GET has no body; an empty one would be passed on with a length it did not come with.
         let body = (request.method() != Method::GET).then_some(body);
         let (boxes, method) = (self.boxes.clone(), request.method().clone());
-        let errand = Passed { boxes, method, target, trace: trace.clone(), body };
+        let rest = Rc::new(RefCell::new(None));
+        let errand = Passed { boxes, method, target, trace: trace.clone(), body, rest: rest.clone() };
         line.0.is_taken();
         match self.host.ask(ask, Rc::new(errand)).await {
-            Answer::Served(body) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
+            Answer::Served(body) => match rest.take() {
+                Some(rest) => passed_on(rest, line),
+                None => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
+            },
             Answer::Refused(after) => {
                 let mut refusal = Response::build(StatusCode::SERVICE_UNAVAILABLE);
                 refusal.insert_header(("Retry-After", format!("{:.3}", after.as_secs_f64())));
@@ -180,6 +184,21 @@
     }
 }
 
+/// A large answer, as its client takes it. Its line is answered with its last byte.
+fn passed_on(rest: Rest, line: Answered) -> Response<BoxBody> {
+    let stated = rest.stated;
+    let body = stream::unfold((rest, line), |(mut rest, line)| async move {
+        let next = rest.next().await?;
+        Some((next, (rest, line)))
+    });
+    let body = body.boxed_local();
+    let mut answer = Response::build(StatusCode::OK);
+    match stated {
+        Some(length) => answer.body(SizedStream::new(length, body)).map_into_boxed_body(),
+        None => answer.body(BodyStream::new(body)).map_into_boxed_body(),
+    }
+}
+
 /// The answer to what is no request. The connection ends with it: its client would send more of the kind, and
 /// of a body that is too large or spoilt the rest would be taken for requests.
 fn turned_away(line: &Line, status: StatusCode) -> Response<BoxBody> {
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -33,12 +33,65 @@
     Head(u32),
     /// So many bytes more, of head and body.
     Answer(u64),
-    /// An answer whose length is not stated: all that comes.
+    /// A chunked body, so far.
+    Chunked(Chunks),
+    /// An answer that ends with its connection: all that comes.
     All,
     /// Something came that belongs to no request, or can't be read. There is no more to read here.
     Spoilt,
 }
 
+/// How far a chunked body has come. awc reads its bytes; here is only kept where it ends.
+#[derive(Debug, PartialEq)]
+enum Chunks {
+    /// In a size, and whether its digits are over.
+    Size(u64, bool),
+    /// So many bytes of data are to come.
+    Data(u64),
+    /// Behind the data of a chunk.
+    Behind,
+    /// In the trailers, with so many bytes in the present line.
+    Trailer(usize),
+    Done,
+}
+
+impl Chunks {
+    /// How many of these bytes belong to the body.
+    fn take(&mut self, bytes: &[u8]) -> usize {
+        let mut at = 0;
+        while at < bytes.len() && *self != Chunks::Done {
+            let byte = bytes[at];
+            let mut step = 1;
+            *self = match (&*self, byte) {
+                (Chunks::Data(left), _) => {
+                    step = (bytes.len() - at).min(usize::try_from(*left).unwrap_or(usize::MAX));
+                    match left - step as u64 {
+                        0 => Chunks::Behind,
+                        left => Chunks::Data(left),
+                    }
+                }
+                (Chunks::Size(0, _), b'\n') => Chunks::Trailer(0),
+                (Chunks::Size(size, _), b'\n') => Chunks::Data(*size),
+                (Chunks::Size(size, over), _) => match (byte as char).to_digit(16).filter(|_| !over) {
+                    Some(digit) => {
+                        Chunks::Size(size.saturating_mul(16).saturating_add(u64::from(digit)), false)
+                    }
+                    None => Chunks::Size(*size, true),
+                },
+                (Chunks::Behind, b'\n') => Chunks::Size(0, false),
+                (Chunks::Behind, _) => Chunks::Behind,
+                (Chunks::Trailer(0), b'\n') => Chunks::Done,
+                (Chunks::Trailer(_), b'\n') => Chunks::Trailer(0),
+                (Chunks::Trailer(length), b'\r') => Chunks::Trailer(*length),
+                (Chunks::Trailer(length), _) => Chunks::Trailer(length + 1),
+                (Chunks::Done, _) => Chunks::Done,
+            };
+            at += step;
+        }
+        at
+    }
+}
+
 /// How long connections may be idle and still be used. What stands on the way may forget idle ones sooner than
 /// the settings say, and resets the next request then, which may have run.
 #[derive(Debug)]
@@ -99,6 +152,10 @@
     since: Option<Instant>,
     /// How long it was idle before the present request.
     idle: Option<Duration>,
+    /// The present request asks for a head alone.
+    bare: bool,
+    /// So many bytes of a chunked answer's head are still to be passed on.
+    head: usize,
 }
 
 impl BoxStream {
@@ -111,6 +168,8 @@
             idling,
             since: None,
             idle: None,
+            bare: false,
+            head: 0,
         }
     }
 
@@ -139,10 +198,23 @@
                         return Poll::Ready(Err(spoilt("no final answer")));
                     }
                 }
-                Some(Ok((_, head, Some(body)))) => {
+                Some(Ok((status, head, _))) if self.bare || matches!(status, 204 | 304) => {
+                    return Poll::Ready(Ok(Reading::Answer(head as u64)))
+                }
+                Some(Ok((_, head, Body::Stated(body)))) => {
                     return Poll::Ready(Ok(Reading::Answer(head as u64 + body)))
                 }
-                Some(Ok((_, _, None))) => return Poll::Ready(Ok(Reading::All)),
+                Some(Ok((_, head, Body::Chunked))) => {
+                    self.head = head;
+                    return Poll::Ready(Ok(Reading::Chunked(Chunks::Size(0, false))));
+                }
+                Some(Ok((_, _, Body::ToTheEnd))) => {
+                    // Of HTTP/1.1 awc takes such an answer for one without a body.
+                    if self.held.starts_with(b"HTTP/1.1") {
+                        self.held[7] = b'0';
+                    }
+                    return Poll::Ready(Ok(Reading::All));
+                }
                 Some(Err(why)) => return Poll::Ready(Err(why)),
                 None if self.held.len() >= HEAD_MOST => {
                     return Poll::Ready(Err(spoilt("a head without end")))
@@ -159,8 +231,18 @@
     }
 }
 
-/// The status, length and stated body length of a head; `None`: more bytes are needed.
-fn head(bytes: &[u8]) -> Option<io::Result<(u16, usize, Option<u64>)>> {
+/// Where an answer's body ends.
+enum Body {
+    /// After so many bytes.
+    Stated(u64),
+    /// After its last chunk.
+    Chunked,
+    /// With its connection.
+    ToTheEnd,
+}
+
+/// The status, length and body of a head; `None`: more bytes are needed.
+fn head(bytes: &[u8]) -> Option<io::Result<(u16, usize, Body)>> {
     let mut headers = [EMPTY_HEADER; HEADERS_MOST];
     let mut response = Response::new(&mut headers);
     match response.parse(bytes) {
@@ -182,13 +264,19 @@
                 },
                 _ => Err(spoilt("two lengths")),
             };
-            let chunked = !named("Transfer-Encoding").is_empty();
-            let interim = response.code.is_some_and(|code| code / 100 == 1);
-            let stated = match stated {
-                Ok(None) if !chunked && !interim => Err(spoilt("an answer without end")),
-                stated => stated,
+            let chunked = match named("Transfer-Encoding")[..] {
+                [] => Ok(false),
+                [one] if one.value.trim_ascii().eq_ignore_ascii_case(b"chunked") => Ok(true),
+                _ => Err(spoilt("an unknown encoding")),
+            };
+            let body = match (stated, chunked) {
+                (Err(why), _) | (_, Err(why)) => Err(why),
+                (Ok(Some(_)), Ok(true)) => Err(spoilt("a length and an encoding")),
+                (Ok(Some(length)), _) => Ok(Body::Stated(length)),
+                (Ok(None), Ok(true)) => Ok(Body::Chunked),
+                (Ok(None), Ok(false)) => Ok(Body::ToTheEnd),
             };
-            Some(stated.map(|stated| (response.code.unwrap_or(0), length, stated.filter(|_| !chunked))))
+            Some(body.map(|body| (response.code.unwrap_or(0), length, body)))
         }
     }
 }
@@ -211,7 +299,7 @@
         }
         let left = match this.reading {
             Reading::Answer(left) => left,
-            Reading::All => u64::MAX,
+            Reading::All | Reading::Chunked(_) => u64::MAX,
             // awc looks here whether an idle connection is quiet; for it an end is one that can't be used. The
             // system is asked: what tokio knows of the socket is as old as its last look at all of them.
             Reading::Nothing => {
@@ -230,20 +318,35 @@
             Reading::Head(_) | Reading::Spoilt => return Poll::Ready(Ok(())),
         };
         if this.held.is_empty() && ready!(this.poll_more(cx))? == 0 {
+            // awc would take the chunks that came for all of them.
+            let cut = matches!(this.reading, Reading::Chunked(_));
             this.reading = Reading::Spoilt;
-            return Poll::Ready(Ok(()));
+            return Poll::Ready(if cut { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) });
         }
         let count = this.held.len().min(out.remaining()).min(usize::try_from(left).unwrap_or(usize::MAX));
+        let count = match &mut this.reading {
+            Reading::Chunked(_) if this.head > 0 => count.min(this.head),
+            Reading::Chunked(chunks) => chunks.take(&this.held[..count]),
+            _ => count,
+        };
         out.put_slice(&this.held[..count]);
         this.held.advance(count);
-        if let Reading::Answer(left) = &mut this.reading {
-            *left -= count as u64;
-            if *left == 0 {
-                // What came with the answer and is no part of it is nobody's.
-                this.reading = if this.held.is_empty() { Reading::Nothing } else { Reading::Spoilt };
-                this.held = BytesMut::new();
-                this.since = Some(Instant::now());
+        let over = match &mut this.reading {
+            Reading::Answer(left) => {
+                *left -= count as u64;
+                *left == 0
             }
+            Reading::Chunked(chunks) => {
+                this.head = this.head.saturating_sub(count);
+                *chunks == Chunks::Done
+            }
+            _ => false,
+        };
+        if over {
+            // What came with the answer and is no part of it is nobody's.
+            this.reading = if this.held.is_empty() { Reading::Nothing } else { Reading::Spoilt };
+            this.held = BytesMut::new();
+            this.since = Some(Instant::now());
         }
         Poll::Ready(Ok(()))
     }
@@ -253,6 +356,7 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         if self.reading == Reading::Nothing {
             self.reading = Reading::Head(0);
+            self.bare = bytes.starts_with(b"HEAD ");
             self.idle = self.since.map(|since| since.elapsed());
         }
         Pin::new(&mut self.socket).poll_write(cx, bytes)
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
@@ -400,4 +400,31 @@
         let (head, body) = message(&mut self.0).await.expect("an answer");
         (head[9..12].parse().unwrap(), head, body)
     }
+
+    /// The same, of an answer of any form: its status, its body as far as it came, and whether it is whole.
+    pub async fn ask_any(&mut self, request: &[u8]) -> (u16, Vec<u8>, bool) {
+        let s = &mut self.0;
+        s.write_all(request).await.unwrap();
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(s.read_u8().await.expect("a head"));
+        }
+        let head = String::from_utf8(head).unwrap();
+        let (status, mut body) = (head[9..12].parse().unwrap(), Vec::new());
+        if let Some(length) = header(&head, "content-length") {
+            let whole = length.parse().unwrap();
+            s.take(whole).read_to_end(&mut body).await.unwrap();
+            return (status, body.clone(), body.len() as u64 == whole);
+        }
+        loop {
+            let mut size = String::new();
+            s.read_line(&mut size).await.unwrap();
+            let Ok(size) = u64::from_str_radix(size.trim(), 16) else { return (status, body, false) };
+            s.take(size).read_to_end(&mut body).await.unwrap();
+            s.read_line(&mut String::new()).await.unwrap();
+            if size == 0 {
+                return (status, body, true);
+            }
+        }
+    }
 }
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -109,3 +109,54 @@
         assert!(kept(&client.ask(&ask()).await.1));
     });
 }
+
+/// Half of the boxes' answers had no stated length or were too large, and each was a failed attempt.
+#[test]
+fn answers_of_every_form_and_size_pass_and_a_cut_one_shows() {
+    story(async {
+        let chunked = |body: &[u8], cut: usize| {
+            let mut out = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+            for piece in body.chunks(10_000) {
+                out.extend(format!("{:X};name=\"a b\";x\r\n", piece.len()).as_bytes());
+                out.extend([piece, b"\r\n"].concat());
+            }
+            out.extend(b"0;last\r\nX-Sum: 1\r\nX-More: 2\r\n\r\n");
+            out.truncate(out.len() - cut);
+            out
+        };
+        let to_the_end = |body: &[u8]| [&b"HTTP/1.1 200 OK\r\n\r\n"[..], body].concat();
+        let (small, large): (Vec<u8>, Vec<u8>) =
+            ((0..50_000u32).map(|i| i as u8).collect(), (0..3_000_000u32).map(|i| (i >> 3) as u8).collect());
+        for (sent, close, expect) in [
+            (chunked(&small, 0), false, &small),
+            (chunked(&large, 0), false, &large),
+            (to_the_end(&small), true, &small),
+            (to_the_end(&large), true, &large),
+            (answer("200 OK", &large, 0), false, &large),
+        ] {
+            let boxed = HttpBox::start(move |_, _| Some((sent.clone(), close))).await;
+            let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+            let mut client = HttpClient::connect(front).await;
+            for _ in 0..2 {
+                let (status, body, whole) =
+                    client.ask_any(&platform_request("GET", "leitura", 0, 2, b"")).await;
+                assert!(status == 200 && whole && body == *expect, "{status}, {} bytes", body.len());
+            }
+            assert_eq!(host.look(|b| b.tallies()[0].1.served), 2);
+        }
+        // What is held whole fails before its client hears of it; what was passed on ends short.
+        for (sent, status) in [
+            (chunked(&small, 30), 502),
+            (chunked(&small, 3), 502),
+            (chunked(&large, 30), 200),
+            (answer("200 OK", &large, 9), 200),
+        ] {
+            let boxed = HttpBox::start(move |_, _| Some((sent.clone(), true))).await;
+            let (front, _, _) = http_front(&[(boxed.address, 0)]).await;
+            let mut client = HttpClient::connect(front).await;
+            let (got, _, whole) = client.ask_any(&platform_request("PUT", "gravacao", 0, 2, b"w")).await;
+            assert_eq!((got, whole), (status, got == 502));
+            assert_eq!(boxed.seen.borrow().len(), 1);
+        }
+    });
+}
