Pass large requests on as they come, free places early and hear slow clients out

Seen by a probe in front.rs and crowd.rs: 200 of 5,978 requests were answered 413 (bodies of up to 1.1 MB at 200 kB a second), 34 were cut with some 600 bytes of a body after 0.9 s. At fault: BODY_MOST in whole_body() of net/front.rs, WHOLE_REQUEST and FULL in net/crowd.rs, and in Broker::ended() a round trip up to the last byte. Ruled out by a second probe at end(): places held by slow answers (first byte at 20 ms, whole at 23 ms in the median) and rests. Red without: large_requests_pass_as_they_come..., a_slow_client_is_heard_out in tests/daily.rs.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -17,6 +17,8 @@
 const WAY_BACK: Duration = Duration::from_millis(10);
 /// How often the figures of what was served go to the log, while there is anything to say.
 const TALLY_EVERY: Duration = Duration::from_secs(10);
+/// When a client may come again whose large request never ran.
+const COME_BACK: Duration = Duration::from_millis(100);
 /// Clients go on with classes that newer settings dropped for a while.
 const OLD_CLASSES: Duration = Duration::from_secs(5);
 /// Boxes are replaced by new ones all day; past so many names those that are gone are forgotten.
@@ -56,12 +58,14 @@
     pub used: Option<f64>,
     /// Units the shard served the volume through other initiators since its last answer here.
     pub elsewhere: f64,
+    /// Bytes of the request went out that can't be sent again.
+    pub spent: bool,
 }
 
 impl Reply {
     /// An end without an answer.
     pub fn none(end: End) -> Self {
-        Reply { end, body: Bytes::new(), used: None, elsewhere: 0.0 }
+        Reply { end, body: Bytes::new(), used: None, elsewhere: 0.0, spent: false }
     }
 }
 
@@ -87,6 +91,17 @@
     learnt: Learnt,
 }
 
+/// How far an attempt is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// The request's body goes out as its client sends it.
+    BodyMoves,
+    /// Its last byte has gone.
+    BodyWent,
+    /// The first bytes of the answer are there.
+    Began,
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -94,6 +109,8 @@
     Arrived(RequestId, Ask),
     /// An attempt came back.
     Ended(RequestId, u8, Reply),
+    /// An attempt has come so far.
+    Went(RequestId, u8, News),
     /// The client of a request is gone.
     Left(RequestId),
     /// News of the disk boxes.
@@ -189,6 +206,7 @@
     class: u16,
     units: f64,
     due: Duration,
+    patience: Duration,
     attempts: u8,
 }
 
@@ -197,6 +215,8 @@
     node: NodeId,
     sent_at: Duration,
     until: Duration,
+    began: Option<Duration>,
+    moves: bool,
 }
 
 /// A box that the list named once, and what operators said of it.
@@ -278,6 +298,7 @@
         match input {
             Input::Arrived(id, ask) => events.extend(self.arrived(at, id, ask)),
             Input::Ended(id, number, reply) => events.extend(self.ended(at, id, number, reply, &mut effects)),
+            Input::Went(id, number, news) => events.extend(self.went(at, id, number, news)),
             Input::Left(id) => {
                 if let Some(open) = self.open.remove(&id) {
                     self.count(open.class, |t| t.left += 1);
@@ -317,7 +338,8 @@
             }
         }
         self.tell(at, &mut effects);
-        let first = self.flights.values().map(|f| f.until).chain(self.wake).min();
+        let until = self.flights.values().map(|f| f.until).filter(|until| *until < Duration::MAX);
+        let first = until.chain(self.wake).min();
         effects.extend(first.map(|first| Effect::Wake(self.clock.instant(first))));
         effects
     }
@@ -328,7 +350,7 @@
         }
         let patience = ask.patience.saturating_sub(WAY_BACK);
         let due = at.saturating_add(patience);
-        self.open.insert(id, Open { class: ask.class, units: ask.units, due, attempts: 0 });
+        self.open.insert(id, Open { class: ask.class, units: ask.units, due, patience, attempts: 0 });
         self.count(ask.class, |t| t.taken += 1);
         Some(Event::Request(Request {
             id,
@@ -344,6 +366,21 @@
         }))
     }
 
+    /// While a body is on its way its client's time stands still; it begins with the last byte. What counts as
+    /// the round trip ends with the first bytes of the answer.
+    fn went(&mut self, at: Duration, id: RequestId, number: u8, news: News) -> Option<Event> {
+        let (flight, open) = (self.flights.get_mut(&(id, number))?, self.open.get_mut(&id)?);
+        let moves = news == News::BodyMoves;
+        if news == News::Began {
+            flight.began = Some(at);
+            return Some(Event::Began(id));
+        }
+        (flight.sent_at, flight.moves) = (at, moves);
+        open.due = if moves { Duration::MAX } else { at.saturating_add(open.patience) };
+        flight.until = open.due;
+        Some(Event::Body { request: id, moves })
+    }
+
     fn ended(
         &mut self,
         at: Duration,
@@ -351,9 +388,13 @@
         number: u8,
         reply: Reply,
         effects: &mut Vec<Effect>,
-    ) -> Option<Event> {
+    ) -> Vec<Event> {
+        let mut events = Vec::new();
+        if self.flights.get(&(id, number)).is_some_and(|f| f.moves) {
+            events.extend(self.went(at, id, number, News::BodyWent));
+        }
         // One that was given up on has had its one outcome.
-        let flight = self.flights.remove(&(id, number))?;
+        let Some(flight) = self.flights.remove(&(id, number)) else { return events };
         *self.ends.entry(format!("{:?}", reply.end)).or_default() += 1;
         let ending = reply.end.outcome();
         if ending == Ending::Served {
@@ -363,10 +404,20 @@
                 effects.push(Effect::Answer(id, Answer::Served(reply.body)));
             }
         }
-        let mut attempt = self.outcome(at, id, number, &flight, ending);
+        // What can't be sent again has its final answer with its first failure.
+        if let Some(open) = self.open.get(&id).filter(|_| reply.spent) {
+            let (class, never_ran) =
+                (open.class, matches!(ending, Ending::TurnedAway | Ending::NoConnection));
+            self.open.remove(&id);
+            self.count(class, |t| if never_ran { t.refused += 1 } else { t.failed += 1 });
+            let answer = if never_ran { Answer::Refused(COME_BACK) } else { Answer::Failed };
+            effects.push(Effect::Answer(id, answer));
+        }
+        let mut attempt = self.outcome(flight.began.unwrap_or(at), id, number, &flight, ending);
         attempt.used = reply.used;
         attempt.elsewhere = reply.elsewhere;
-        Some(Event::Attempt(attempt))
+        events.push(Event::Attempt(attempt));
+        events
     }
 
     fn outcome(&self, at: Duration, id: RequestId, number: u8, flight: &Flight, ending: Ending) -> Attempt {
@@ -545,7 +596,7 @@
                 let (number, due) = (open.attempts, open.due);
                 open.attempts = open.attempts.saturating_add(1);
                 let until = if !timeout.is_zero() { due.min(at.saturating_add(timeout)) } else { due };
-                let flight = Flight { node, sent_at: at, until };
+                let flight = Flight { node, sent_at: at, until, began: None, moves: false };
                 let Some(&to) = self.addresses.get(&node) else {
                     let void = self.outcome(at, request, number, &flight, End::NoAddress.outcome());
                     return Some(Event::Attempt(void));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,6 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+mod inherit;
+
 const SECOND: Duration = Duration::from_secs(1);
 const NANO: Duration = Duration::from_nanos(1);
 const FOREVER: Duration = Duration::from_nanos(u64::MAX);
@@ -84,25 +86,6 @@
         host
     }
 
-    /// What it has learnt and spent, for a process that takes a part of its budgets.
-    pub fn learnt(&self, part: f64) -> Learnt {
-        let mut volumes: Vec<_> = self.volumes.iter().map(|(id, v)| (*id, v.clone())).collect();
-        volumes.iter_mut().for_each(|(_, v)| v.scale_tokens(part));
-        let nodes = self.nodes.iter().map(|(id, n)| (*id, n.clone())).collect();
-        Learnt { started: self.started, volumes, nodes }
-    }
-
-    /// Goes on where another process of this host was; the list of nodes has been told already.
-    pub fn inherit(&mut self, learnt: Learnt) {
-        self.started = learnt.started;
-        self.volumes.extend(learnt.volumes);
-        for (id, node) in learnt.nodes {
-            if let Some(own) = self.nodes.get_mut(&id) {
-                *own = Node { ready: own.ready, gone: own.gone, shard: own.shard, zone: own.zone, ..node };
-            }
-        }
-    }
-
     /// Takes what happened up to `now` and adds what is to be done about it to `actions`.
     pub fn step(&mut self, now: Duration, events: &[Event], actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -126,6 +109,8 @@
             Event::List { kind, lines } => self.on_list(*kind, lines),
             Event::Request(request) => self.on_request(request),
             Event::Streaming(id) => self.on_streaming(*id),
+            Event::Began(id) => self.free_place(*id),
+            Event::Body { request, moves } => self.on_body(*request, *moves),
             Event::Attempt(attempt) => self.on_attempt(attempt),
             Event::Settings(set) => {
                 self.set = Settings::clone(set);
@@ -271,6 +256,29 @@
         }
     }
 
+    /// What a box has begun to answer, or has not whole yet, is no work for it.
+    fn free_place(&mut self, id: RequestId) {
+        let node = self.jobs.get(&id).and_then(|j| j.attempts.last()).and_then(|a| self.nodes.get_mut(&a.0));
+        let outs = node.into_iter().flat_map(|n| n.out.iter_mut()).filter(|o| o.job == id);
+        outs.for_each(|out| out.free = true);
+    }
+
+    /// A body on its way takes as long as its client does; from its last byte on time counts as it came.
+    fn on_body(&mut self, id: RequestId, moves: bool) {
+        self.free_place(id);
+        let (now, Some(job)) = (self.now, self.jobs.get_mut(&id)) else { return };
+        let times = (self.set.class(job.req.class).aim, job.req.patience);
+        let (aim, patience) = if moves { (FOREVER, FOREVER) } else { times };
+        (job.aim_at, job.due) = (now.saturating_add(aim), now.saturating_add(patience));
+        if let Some((node, sent, _)) = job.attempts.last_mut().filter(|_| !moves) {
+            *sent = now;
+            let outs =
+                self.nodes.get_mut(node).into_iter().flat_map(|n| n.out.iter_mut()).filter(|o| o.job == id);
+            outs.for_each(|out| (out.sent_at, out.free) = (now, false));
+        }
+        self.shelve(id);
+    }
+
     /// What is out for a client that left is work for nobody.
     fn on_left(&mut self, id: RequestId) {
         if let Some(job) = self.jobs.get(&id).filter(|j| self.set.cancels && !j.streaming) {
@@ -500,7 +508,7 @@
         let mut next = FOREVER;
         for node in self.nodes.values_mut().filter(|n| !n.out.is_empty()) {
             let trip = node.lag.max(node.service).max(1e6);
-            for out in node.out.iter_mut().filter(|o| !o.missed) {
+            for out in node.out.iter_mut().filter(|o| !o.missed && !o.free) {
                 let overtaken = out.overtaken >= OVERTAKEN;
                 let lags = if overtaken { MISSED_LAGS.0 } else { MISSED_LAGS.1 * f64::from(1 << node.quiet) };
                 let at = out.sent_at.saturating_add(span_of(lags * trip));
@@ -954,7 +962,7 @@
         job.out += 1;
         let units = job.req.units;
         let number = (job.attempts.len() - 1) as u8;
-        node.out.push(Out { job: id, number, sent_at: now, overtaken: 0, missed: false });
+        node.out.push(Out { job: id, number, sent_at: now, overtaken: 0, missed: false, free: false });
         if node.relays > 0 && node.relay_until >= now {
             node.relays -= 1;
         } else {
--- /dev/null
+++ b/src/choice/inherit.rs
@@ -0,0 +1,25 @@
+//! What one process of a host leaves to the next; nothing is decided here.
+
+use super::Scheduler;
+use crate::state::{Learnt, Node};
+
+impl Scheduler {
+    /// What it has learnt and spent, for a process that takes a part of its budgets.
+    pub fn learnt(&self, part: f64) -> Learnt {
+        let mut volumes: Vec<_> = self.volumes.iter().map(|(id, v)| (*id, v.clone())).collect();
+        volumes.iter_mut().for_each(|(_, v)| v.scale_tokens(part));
+        let nodes = self.nodes.iter().map(|(id, n)| (*id, n.clone())).collect();
+        Learnt { started: self.started, volumes, nodes }
+    }
+
+    /// Goes on where another process of this host was; the list of nodes has been told already.
+    pub fn inherit(&mut self, learnt: Learnt) {
+        self.started = learnt.started;
+        self.volumes.extend(learnt.volumes);
+        for (id, node) in learnt.nodes {
+            if let Some(own) = self.nodes.get_mut(&id) {
+                *own = Node { ready: own.ready, gone: own.gone, shard: own.shard, zone: own.zone, ..node };
+            }
+        }
+    }
+}
--- a/src/ending.rs
+++ b/src/ending.rs
@@ -21,6 +21,8 @@
     HandshakeFailed,
     /// The connection broke while the request was being written; the last byte may have gone.
     BrokeWriting,
+    /// The connection broke before the request's last byte was to be written.
+    BrokeEarly,
     /// The connection broke after the request and before an answer.
     BrokeWaiting,
     /// The answer began and did not come whole.
@@ -45,7 +47,9 @@
             // A spoilt answer tells of a box that lives: it is not taken for one that has just restarted.
             End::BoxError | End::Strange | End::UnboundedAnswer | End::SpoiltAnswer => Ending::Error,
             End::TurnedAway => Ending::TurnedAway,
-            End::Unreachable | End::ConnectTimedOut | End::HandshakeFailed => Ending::NoConnection,
+            End::Unreachable | End::ConnectTimedOut | End::HandshakeFailed | End::BrokeEarly => {
+                Ending::NoConnection
+            }
             End::BrokeWriting | End::BrokeWaiting | End::HalfAnswer => Ending::Broken,
             End::Silent => Ending::TimedOut,
             End::CalledOff => Ending::Cancelled,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -367,6 +367,15 @@
     Request(Request),
     /// The answer to a streamed request has begun; its deadline no longer counts.
     Streaming(RequestId),
+    /// The first bytes of the answer to its last attempt are there.
+    Began(RequestId),
+    /// The body of a request goes out as its client sends it, or its last byte has gone.
+    Body {
+        /// Whose.
+        request: RequestId,
+        /// It is on its way.
+        moves: bool,
+    },
     /// An attempt ended.
     Attempt(Attempt),
     /// The settings from now on; numbers of classes and plans mean what they meant, and there may be more.
--- a/src/nbd/boxes.rs
+++ b/src/nbd/boxes.rs
@@ -3,7 +3,7 @@
 use super::codec::*;
 use crate::broker::Reply;
 use crate::ending::End;
-use crate::net::host::Errand;
+use crate::net::host::{Errand, Tell};
 use bytes::Bytes;
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use std::cell::RefCell;
@@ -104,7 +104,7 @@
 }
 
 impl Errand for Piece {
-    fn attempt(&self, to: SocketAddr, _wait: Duration) -> LocalBoxFuture<'static, Reply> {
+    fn attempt(&self, to: SocketAddr, _wait: Duration, _: Tell) -> LocalBoxFuture<'static, Reply> {
         let piece = self.clone();
         async move {
             let mut link = match piece.boxes.link(to).await {
--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -1,10 +1,11 @@
 //! Attempts at disk boxes, over HTTP with awc.
 
-use super::host::Errand;
-use super::stream::{BoxStream, Idling};
-use crate::broker::Reply;
+use super::host::{Errand, Tell};
+use super::stream::{BoxStream, Idling, BEGAN};
+use crate::broker::{News, Reply};
 use crate::ending::End;
 use crate::interface::Settings;
+use actix_http::body::{BodyStream, SizedStream};
 use actix_http::error::ParseError;
 use actix_http::{Method, StatusCode};
 use actix_service::fn_service;
@@ -16,8 +17,9 @@
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use futures_util::stream::LocalBoxStream;
 use futures_util::{Stream, StreamExt};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,14 +27,16 @@
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// The most that a request's or an answer's body may hold.
+/// The most of a body that is held whole, and sent again where that is allowed.
 pub const BODY_MOST: usize = 64 * 1024;
-/// The most that an answer may hold: what says more, or goes on past it, is spoilt.
-const ANSWER_MOST: u64 = 40 << 20;
+/// The most that a large body may hold, either way: what says more, or goes on past it, is spoilt.
+pub const BODIES_MOST: u64 = 40 << 20;
 /// An answer that is held whole and stops so long on its way is spoilt.
 const STALLED: Duration = Duration::from_millis(1000);
 /// One that is passed on as it comes may stop longer: its client has what came, and knows that there is more.
 const RESTS: Duration = Duration::from_secs(10);
+/// A client that sends a large body may rest so long, and a box that takes one.
+const CLIENT_RESTS: Duration = Duration::from_millis(2500);
 /// Before a connection is used again: what a box sends behind an answer has come by then, and shows.
 const SETTLES: Duration = Duration::from_millis(2);
 /// Above this no box tells the truth about use, in parts of a plan's rate, or about units served elsewhere.
@@ -113,12 +117,82 @@
     pub target: String,
     /// `X-Trace-Id`, as it came.
     pub trace: String,
-    /// The whole body; `None` where there was none.
-    pub body: Option<Bytes>,
+    /// The body.
+    pub body: Carried,
     /// Of a large answer, what is to be passed on as it comes.
     pub rest: Rc<RefCell<Option<Rest>>>,
 }
 
+/// A request's body.
+#[derive(Clone)]
+pub enum Carried {
+    /// There was none.
+    None,
+    /// All of it; it can be sent again.
+    Whole(Bytes),
+    /// A large one, as its client sends it.
+    Moving(Rc<Upload>),
+}
+
+/// A large body on its way in.
+pub struct Upload {
+    /// How long it is, where that is stated.
+    pub stated: Option<u64>,
+    /// What has come of it, and can be sent again.
+    pub first: Bytes,
+    /// What is still to come.
+    pub payload: RefCell<LocalBoxStream<'static, Result<Bytes, PayloadError>>>,
+    /// Told when its last byte has come.
+    pub came: Box<dyn Fn()>,
+    /// More than `first` was read, and how much in all.
+    pub read: Cell<u64>,
+    /// Its last byte was handed on.
+    pub went: Cell<bool>,
+}
+
+impl Upload {
+    fn is_spent(&self) -> bool {
+        self.read.get() > self.first.len() as u64 || self.went.get()
+    }
+
+    /// The next bytes, after `first`; a client that sends nothing for a while has left half a request.
+    async fn next(&self) -> Option<Result<Bytes, PayloadError>> {
+        let next = poll_fn(|cx| self.payload.borrow_mut().poll_next_unpin(cx));
+        let next = match tokio::time::timeout(CLIENT_RESTS, next).await {
+            Ok(next) => next,
+            Err(_) => Some(Err(PayloadError::Incomplete(None))),
+        };
+        match next {
+            Some(Ok(bytes)) => {
+                self.read.set(self.read.get() + bytes.len() as u64);
+                Some(if self.read.get() > BODIES_MOST { Err(PayloadError::Overflow) } else { Ok(bytes) })
+            }
+            None => {
+                self.went.set(true);
+                (self.came)();
+                None
+            }
+            failed => failed,
+        }
+    }
+
+    /// For one attempt; `tell` is told of the last byte.
+    fn stream(self: Rc<Self>, tell: Rc<Tell>) -> LocalBoxStream<'static, Result<Bytes, PayloadError>> {
+        let first = Some(self.first.clone()).filter(|first| !first.is_empty());
+        futures_util::stream::unfold((self, first, tell), |(upload, first, tell)| async move {
+            let next = match first {
+                Some(first) => Some(Ok(first)),
+                None => upload.next().await,
+            };
+            if next.is_none() {
+                tell(News::BodyWent);
+            }
+            Some((next?, (upload, None, tell)))
+        })
+        .boxed_local()
+    }
+}
+
 /// A large answer, from its first bytes on.
 pub struct Rest {
     /// How long it is, where that is stated.
@@ -142,7 +216,7 @@
         match next {
             Some(Ok(bytes)) => {
                 self.came += bytes.len() as u64;
-                let most = self.stated.unwrap_or(ANSWER_MOST);
+                let most = self.stated.unwrap_or(BODIES_MOST);
                 Some(if self.came > most { Err(PayloadError::Overflow) } else { Ok(bytes) })
             }
             None if self.stated.is_some_and(|stated| self.came < stated) => {
@@ -154,7 +228,7 @@
 }
 
 impl Errand for Passed {
-    fn attempt(&self, to: SocketAddr, wait: Duration) -> LocalBoxFuture<'static, Reply> {
+    fn attempt(&self, to: SocketAddr, wait: Duration, tell: Tell) -> LocalBoxFuture<'static, Reply> {
         let boxes = self.boxes.clone();
         let request = boxes
             .client(to)
@@ -162,19 +236,55 @@
             .insert_header(("X-Trace-Id", self.trace.clone()))
             .insert_header(("X-Expires-In", format!("{:.3}", wait.as_secs_f64())));
         let (body, rest) = (self.body.clone(), self.rest.clone());
-        async move {
+        let tell = Rc::new(tell);
+        let began = tell.clone();
+        let attempt = async move {
             // Never closed; each is given back when its attempt ends, by whatever.
             let permit = boxes.permits.clone().acquire_owned().await.ok();
-            let sent = match body {
-                Some(body) => request.send_body(body),
-                None => request.send(),
+            let (sent, upload) = match body {
+                Carried::Whole(body) => (request.send_body(body), None),
+                Carried::None => (request.send(), None),
+                Carried::Moving(upload) => {
+                    tell(News::BodyMoves);
+                    let stream = upload.clone().stream(tell.clone());
+                    let sent = match upload.stated {
+                        Some(length) => request.send_body(SizedStream::new(length, stream)),
+                        None => request.send_body(BodyStream::new(stream)),
+                    };
+                    (sent, Some(upload))
+                }
             };
-            match sent.await {
+            let reply = match while_it_moves(sent, upload.as_deref()).await {
                 Ok(response) => read(response, permit, &rest).await,
+                // Of a request whose last byte was never handed on nothing has run.
+                Err(SendRequestError::Body(_)) => Reply::none(End::CalledOff),
+                Err(SendRequestError::Send(_)) if upload.as_ref().is_some_and(|u| !u.went.get()) => {
+                    Reply::none(End::BrokeEarly)
+                }
                 Err(error) => Reply::none(end_of(&error)),
+            };
+            Reply { spent: upload.is_some_and(|u| u.is_spent()), ..reply }
+        };
+        BEGAN.scope(Box::new(move || began(News::Began)), attempt).boxed_local()
+    }
+}
+
+/// Waits for an answer, and not for a box that takes nothing of a body that there is.
+async fn while_it_moves<T>(
+    sent: impl Future<Output = Result<T, SendRequestError>>,
+    upload: Option<&Upload>,
+) -> Result<T, SendRequestError> {
+    let mut sent = std::pin::pin!(sent);
+    let Some(upload) = upload else { return sent.await };
+    loop {
+        let before = upload.read.get();
+        match tokio::time::timeout(RESTS, &mut sent).await {
+            Ok(sent) => return sent,
+            Err(_) if !upload.went.get() && upload.read.get() == before => {
+                return Err(SendRequestError::Timeout);
             }
+            Err(_) => {}
         }
-        .boxed_local()
     }
 }
 
@@ -220,7 +330,7 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => End::TurnedAway,
         _ => End::Strange,
     };
-    if stated.is_some_and(|n| n > ANSWER_MOST) {
+    if stated.is_some_and(|n| n > BODIES_MOST) {
         return Reply::none(End::UnboundedAnswer);
     }
     let held = |stated: u64| end != End::Whole || stated <= BODY_MOST as u64;
@@ -236,7 +346,9 @@
             break;
         }
         match tokio::time::timeout(STALLED, response.next()).await {
-            Ok(Some(Ok(chunk))) => body.extend_from_slice(&chunk),
+            Ok(Some(Ok(chunk))) => {
+                body.extend_from_slice(&chunk);
+            }
             Ok(None) if stated.is_none() => break,
             Ok(None) => return Reply::none(End::HalfAnswer),
             Ok(Some(Err(PayloadError::Io(why)))) if why.kind() != std::io::ErrorKind::InvalidData => {
@@ -251,9 +363,9 @@
             }
             let (first, body) = (Some(body.freeze()), response.boxed_local());
             rest.replace(Some(Rest { stated, first, came: 0, body, _permit: permit }));
-            return Reply { end, body: Bytes::new(), used, elsewhere };
+            return Reply { end, body: Bytes::new(), used, elsewhere, spent: false };
         }
     }
     let body = if end == End::Whole { body.freeze() } else { Bytes::new() };
-    Reply { end, body, used, elsewhere }
+    Reply { end, body, used, elsewhere, spent: false }
 }
--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -18,17 +18,20 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// A client that connects has something to ask: its first byte comes within this.
 const FIRST_BYTE: Duration = Duration::from_secs(2);
-/// A whole request, head and body, comes within this of its first byte; a connection's first one within
-/// this of the connect, since half a request is owed an end within 3 s of that.
-const WHOLE_REQUEST: Duration = Duration::from_millis(2300);
+/// A head comes within this of its first byte; a connection's first one within this of the connect. Slow clients
+/// take 2 s, and half a request is owed an end within 3 s of the connect.
+const WHOLE_HEAD: Duration = Duration::from_millis(2500);
+/// A body may be behind such a rate, in bytes a second, by this much; slow clients send 64 kB a second.
+const BODY_RATE: f64 = 48e3;
+const BODY_BEHIND: Duration = Duration::from_millis(2000);
 /// A connection on which nothing was asked for so long may go, and goes where places run short.
 const IDLE: Duration = Duration::from_millis(2100);
 /// Else it may wait longer.
 const IDLE_QUIET: Duration = Duration::from_secs(20);
-/// Where no place is left, others wait unheard: those that are silent, slow or idle have only so long. An
-/// ordinary request comes at once and in one piece.
+/// Where no place is left, others wait unheard: those that are silent or idle have only so long, and one on
+/// whose request nothing comes has the third.
 const FULL: (Duration, Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(200), Duration::from_millis(200));
+    (Duration::from_millis(100), Duration::from_millis(200), Duration::from_millis(700));
 /// While clients are to go elsewhere, connections that rest are closed from the first on and every one without
 /// a request from the second on: newcomers stop 0.3 s after the first no, and at 4 s no connection may be idle
 /// or have had a request in 2 s.
@@ -52,6 +55,8 @@
     Head,
     /// Its head is whole.
     Body,
+    /// Its body is passed on as it comes, at the pace of who takes it.
+    Moving,
     /// It is with the core.
     Taken,
     /// Every request is answered.
@@ -67,6 +72,8 @@
     since: Cell<Instant>,
     /// Bytes of the head that is coming, or sent ahead of an answer.
     bytes: Cell<usize>,
+    /// When the last byte came.
+    heard: Cell<Instant>,
     reader: RefCell<Option<Waker>>,
     cut: Notify,
     /// It is to end once nothing more has come on it.
@@ -75,8 +82,8 @@
 
 impl Line {
     fn put(&self, stage: Stage) {
-        // One clock bounds head and body; a connection's first request counts from the connect.
-        if !matches!((self.stage.get(), stage), (Stage::Fresh, Stage::Head) | (Stage::Head, Stage::Body)) {
+        // A connection's first head counts from the connect.
+        if (self.stage.get(), stage) != (Stage::Fresh, Stage::Head) {
             self.since.set(Instant::now());
         }
         self.stage.set(stage);
@@ -91,6 +98,11 @@
         self.put(Stage::Body);
     }
 
+    /// The core has the request, and its body is still to come.
+    pub fn moves(&self) {
+        self.put(Stage::Moving);
+    }
+
     /// The request is whole, and answered in its own time.
     pub fn is_taken(&self) {
         self.put(Stage::Taken);
@@ -103,7 +115,7 @@
 
     /// Its answer is on the way out; what was sent ahead comes next.
     pub fn is_answered(&self) {
-        if self.stage.get() == Stage::Leaving {
+        if matches!(self.stage.get(), Stage::Leaving) {
             return;
         }
         let ahead = self.stage.get() == Stage::Taken && self.bytes.get() > 0;
@@ -138,13 +150,16 @@
         let most = match self.stage.get() {
             Stage::Fresh if full => FULL.0,
             Stage::Fresh => FIRST_BYTE,
-            Stage::Head | Stage::Body | Stage::Leaving if full => FULL.1,
-            Stage::Head | Stage::Body => WHOLE_REQUEST,
-            Stage::Idle if full => FULL.2,
+            Stage::Leaving | Stage::Idle if full => FULL.1,
+            Stage::Head | Stage::Body if full && now.saturating_duration_since(self.heard.get()) > FULL.2 => {
+                return true
+            }
+            Stage::Head => WHOLE_HEAD,
+            Stage::Body => BODY_BEHIND + Duration::from_secs_f64(self.bytes.get() as f64 / BODY_RATE),
             Stage::Idle if crowded => IDLE,
             Stage::Leaving => IDLE,
             Stage::Idle => IDLE_QUIET,
-            Stage::Taken => return false,
+            Stage::Taken | Stage::Moving => return false,
         };
         now.saturating_duration_since(self.since.get()) > most
     }
@@ -161,6 +176,7 @@
             stage: Cell::new(Stage::Fresh),
             since: Cell::new(Instant::now()),
             bytes: Cell::new(0),
+            heard: Cell::new(Instant::now()),
             reader: RefCell::new(None),
             cut: Notify::new(),
             ends: Cell::new(false),
@@ -255,6 +271,7 @@
         }
         this.at_once += count;
         line.bytes.set(line.bytes.get() + count);
+        line.heard.set(Instant::now());
         if line.stage.get() == Stage::Head && line.bytes.get() > HEAD_MOST {
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "a head without end")));
         }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,6 +1,6 @@
 //! The platform's front: HTTP/1.1 to clients, with actix-http.
 
-use super::boxes::{Boxes, Passed, Rest, BODY_MOST};
+use super::boxes::{Boxes, Carried, Passed, Rest, Upload, BODIES_MOST, BODY_MOST};
 use super::crowd::{ClientStream, Crowd, Line};
 use super::gate::{Closing, Gate};
 use super::host::{log, Host};
@@ -12,9 +12,9 @@
     ConnectionType, Extensions, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
 };
 use actix_service::{fn_service, Service, ServiceFactory};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures_util::{stream, StreamExt};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashSet, VecDeque};
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -149,11 +149,11 @@
             let ready = self.host.is_ready();
             return Response::new(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
         }
-        let body = match whole_body(&mut request).await {
+        let body = match body_of(&mut request, &line.0).await {
             Ok(body) => body,
             Err(status) => return turned_away(&line.0, status),
         };
-        if request.method() == Method::GET && !body.is_empty() {
+        if request.method() != Method::PUT && !matches!(body, Carried::None) {
             return turned_away(&line.0, StatusCode::BAD_REQUEST);
         }
         let Some((ask, trace)) = self.host.look(|core| understand(&request, core)) else {
@@ -163,13 +163,33 @@
             return turned_away(&line.0, StatusCode::CONFLICT);
         }
         let target = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
-        // A GET has no body; an empty one would be passed on with a length it did not come with.
-        let body = (request.method() != Method::GET).then_some(body);
+        let upload = match &body {
+            Carried::Moving(upload) => Some(upload.clone()),
+            _ => None,
+        };
         let (boxes, method) = (self.boxes.clone(), request.method().clone());
         let rest = Rc::new(RefCell::new(None));
         let errand = Passed { boxes, method, target, trace: trace.clone(), body, rest: rest.clone() };
-        line.0.is_taken();
-        match self.host.ask(ask, Rc::new(errand)).await {
+        if upload.is_some() {
+            line.0.moves();
+        } else {
+            line.0.is_taken();
+        }
+        let answer = self.host.ask(ask, Rc::new(errand)).await;
+        // What is still to come of a body that nobody takes would be read as requests.
+        let half = upload.is_some_and(|upload| !upload.went.get());
+        if half {
+            line.0.leaves();
+        }
+        let mut answer = self.answer(answer, rest, line);
+        if half {
+            answer.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        answer
+    }
+
+    fn answer(&self, answer: Answer, rest: Rc<RefCell<Option<Rest>>>, line: Answered) -> Response<BoxBody> {
+        match answer {
             Answer::Served(body) => match rest.take() {
                 Some(rest) => passed_on(rest, line),
                 None => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
@@ -206,27 +226,37 @@
     Response::build(status).force_close().body(()).map_into_boxed_body()
 }
 
-async fn whole_body(request: &mut Request) -> Result<Bytes, StatusCode> {
+/// A body that was asked for: all of it, or a large one of which no more than that has come.
+async fn body_of(request: &mut Request, line: &Rc<Line>) -> Result<Carried, StatusCode> {
     let stated = text(request.headers(), "Content-Length").and_then(|v| v.parse::<u64>().ok());
-    if stated.is_some_and(|length| length > BODY_MOST as u64) {
+    if stated.is_some_and(|length| length > BODIES_MOST) {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| StatusCode::BAD_REQUEST)?;
-        if body.len() + chunk.len() > BODY_MOST {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    while stated.is_none_or(|length| length <= BODY_MOST as u64) && body.len() <= BODY_MOST {
+        match payload.next().await {
+            Some(chunk) => body.extend_from_slice(&chunk.map_err(|_| StatusCode::BAD_REQUEST)?),
+            // A GET has no body; an empty one would be passed on with a length it did not come with.
+            None if request.method() != Method::PUT && body.is_empty() => return Ok(Carried::None),
+            None => return Ok(Carried::Whole(body.freeze())),
         }
-        body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    let (read, line) = (Cell::new(body.len() as u64), line.clone());
+    Ok(Carried::Moving(Rc::new(Upload {
+        stated,
+        first: body.freeze(),
+        payload: RefCell::new(payload.boxed_local()),
+        came: Box::new(move || line.is_taken()),
+        read,
+        went: Cell::new(false),
+    })))
 }
 
 /// The request in the core's terms, and its trace id; `None` where it is malformed.
 fn understand(request: &Request, core: &Broker) -> Option<(Ask, String)> {
     let headers = request.headers();
-    if ![Method::GET, Method::PUT].contains(request.method()) {
+    if ![Method::GET, Method::HEAD, Method::PUT].contains(request.method()) {
         return None;
     }
     let path = request.path().strip_prefix('/')?;
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -1,6 +1,6 @@
 //! Carries out what the core asks for: attempts, answers and waits, all on one thread.
 
-use crate::broker::{Answer, Ask, Broker, Effect, Input, Order, Reply};
+use crate::broker::{Answer, Ask, Broker, Effect, Input, News, Order, Reply};
 use crate::interface::{RequestId, Settings};
 use futures_util::future::LocalBoxFuture;
 use std::cell::{Cell, RefCell};
@@ -12,10 +12,13 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 
+/// Told how far an attempt is.
+pub type Tell = Box<dyn Fn(News)>;
+
 /// How one front's requests reach a box. Dropping the future closes the connection it uses.
 pub trait Errand {
-    /// One attempt, for which the initiator waits so long.
-    fn attempt(&self, to: SocketAddr, wait: Duration) -> LocalBoxFuture<'static, Reply>;
+    /// One attempt, for which the initiator waits so long; `tell` is told how far it is.
+    fn attempt(&self, to: SocketAddr, wait: Duration, tell: Tell) -> LocalBoxFuture<'static, Reply>;
 }
 
 struct Waiting {
@@ -90,7 +93,9 @@
     fn send(&self, request: RequestId, number: u8, to: SocketAddr, wait: Duration) {
         let Some(errand) = self.0.waiting.borrow().get(&request).map(|w| w.errand.clone()) else { return };
         let host = self.clone();
-        let attempt = errand.attempt(to, wait);
+        let core = self.clone();
+        let tell = Box::new(move |news| core.feed(Input::Went(request, number, news)));
+        let attempt = errand.attempt(to, wait, tell);
         let task = actix_rt::spawn(async move {
             let reply = attempt.await;
             host.0.flights.borrow_mut().remove(&(request, number));
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -22,6 +22,8 @@
 const HEADERS_MOST: usize = 96;
 /// Answers of the kind 1xx that may come before the final one.
 const INTERIM_MOST: u32 = 16;
+/// Where the status stands in a head.
+const FIRST_DIGIT: usize = 9;
 const CHUNK: usize = 8 * 1024;
 
 /// What is read at present.
@@ -41,6 +43,11 @@
     Spoilt,
 }
 
+tokio::task_local! {
+    /// Told once the first bytes of a final answer to the attempt that is being polled are there.
+    pub static BEGAN: Box<dyn Fn()>;
+}
+
 /// How far a chunked body has come. awc reads its bytes; here is only kept where it ends.
 #[derive(Debug, PartialEq)]
 enum Chunks {
@@ -154,6 +161,8 @@
     idle: Option<Duration>,
     /// The present request asks for a head alone.
     bare: bool,
+    /// Its final answer has begun to come.
+    begun: bool,
     /// So many bytes of a chunked answer's head are still to be passed on.
     head: usize,
 }
@@ -169,6 +178,7 @@
             since: None,
             idle: None,
             bare: false,
+            begun: false,
             head: 0,
         }
     }
@@ -225,6 +235,12 @@
                     if more? == 0 {
                         return Poll::Ready(Ok(Reading::All));
                     }
+                    // Slow boxes write a head in pieces as well: past the first digit it is no interim answer.
+                    if !self.begun && self.held.get(FIRST_DIGIT).is_some_and(|digit| *digit != b'1') {
+                        self.begun = true;
+                        // Where nobody waits for that there is nothing to tell.
+                        let _ = BEGAN.try_with(|began| began());
+                    }
                 }
             }
         }
@@ -356,6 +372,7 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         if self.reading == Reading::Nothing {
             self.reading = Reading::Head(0);
+            self.begun = false;
             self.bare = bytes.starts_with(b"HEAD ");
             self.idle = self.since.map(|since| since.elapsed());
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,7 @@
     pub(crate) sent_at: Duration,
     pub(crate) overtaken: u32, // How many sent after it were answered before it.
     pub(crate) missed: bool,   // Taken for lost on the way.
+    pub(crate) free: bool,     // Holds no place: it is being answered, or is not whole there yet.
 }
 
 /// What a host has learnt and spent, for the process that takes its place.
@@ -123,7 +124,7 @@
     }
 
     pub(crate) fn held(&self) -> f64 {
-        self.out.iter().filter(|o| !o.missed).count() as f64
+        self.out.iter().filter(|o| !o.missed && !o.free).count() as f64
     }
 }
 
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -293,12 +293,34 @@
         head.push(s.read_u8().await.ok()?);
     }
     let head = String::from_utf8(head).unwrap();
+    if header(&head, "transfer-encoding").is_some() {
+        return chunks(s).await.map(|body| (head, body));
+    }
     let length = header(&head, "content-length").map_or(0, |v| v.parse().unwrap());
     let mut body = vec![0; length];
     s.read_exact(&mut body).await.ok()?;
     Some((head, body))
 }
 
+/// A chunked body, its extensions and trailers left out; `None`: it was cut.
+async fn chunks(s: &mut BufReader<TcpStream>) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        s.read_line(&mut line).await.ok()?;
+        let size = u64::from_str_radix(line.split(';').next()?.trim(), 16).ok()?;
+        let before = body.len() as u64;
+        s.take(size).read_to_end(&mut body).await.ok()?;
+        if (body.len() as u64) < before + size {
+            return None;
+        }
+        s.read_line(&mut line).await.ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+    }
+}
+
 /// A header's value, by its name in lower case.
 pub fn header(head: &str, name: &str) -> Option<String> {
     let line = |l: &str| l.split_once(':').map(|(n, v)| (n.to_lowercase(), v.trim().to_owned()));
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -160,3 +160,70 @@
         }
     });
 }
+
+/// A large request was turned away with 413; held whole, a few of them would be all of the memory.
+#[test]
+fn large_requests_pass_as_they_come_and_hold_no_place() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"x", 0), false))).await;
+        let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+        let large: Vec<u8> = (0..3_000_000u32).map(|i| (i >> 3) as u8).collect();
+        let plain = platform_request("PUT", "gravacao", 0, 2, &large);
+        let mut chunked = String::from_utf8(platform_request("PUT", "gravacao", 0, 2, b"")).unwrap();
+        chunked = chunked.replace("Content-Length: 0", "Expect: 100-continue\r\nTransfer-Encoding: chunked");
+        let mut chunked = chunked.replace("PUT /", "PUT http://api.internal/").into_bytes();
+        for piece in large.chunks(70_000) {
+            chunked.extend(format!("{:x};a=b\r\n", piece.len()).as_bytes());
+            chunked.extend([piece, b"\r\n"].concat());
+        }
+        chunked.extend(b"0\r\nX-Sum: 1\r\n\r\n");
+        let mut client = HttpClient::connect(front).await;
+        assert_eq!(client.ask(&plain).await.0, 200);
+        assert_eq!(client.ask(&chunked).await.0, 100);
+        assert_eq!(client.ask(b"").await.0, 200);
+        for (_, head, body) in boxed.seen.borrow().iter() {
+            assert!(*body == large && head.starts_with("PUT /gravacao/7f3a9c21e0b4d655?a=%20b "), "{head}");
+        }
+        // A client in the middle of one keeps nobody waiting: a box's two places are for what it has whole.
+        let mut slow = Vec::new();
+        for _ in 0..3 {
+            let mut client = HttpClient::connect(front).await;
+            client.0.write_all(&platform_request("PUT", "gravacao", 0, 2, &large)[..200_000]).await.unwrap();
+            slow.push(client);
+        }
+        while host.open() < 3 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(client.ask(&platform_request("GET", "leitura", 0, 2, b"")).await.0, 200);
+        assert_eq!(host.open(), 3);
+        // One that leaves in the middle, or stops, has asked for nothing; no box has run it, none gets it twice.
+        let seen = boxed.seen.borrow().len();
+        drop(slow.pop());
+        for mut client in slow {
+            assert_eq!(client.ask(b"").await.0, 502);
+        }
+        assert_eq!((host.open(), boxed.seen.borrow().len()), (0, seen));
+    });
+}
+
+/// Slow clients take 2 s for a head and send 64 kB of a body in a second; they were cut off at 2.3 s.
+#[test]
+fn a_slow_client_is_heard_out() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"x", 0), false))).await;
+        let (front, _, _) = http_front(&[(boxed.address, 0)]).await;
+        let body = vec![7; 60_000];
+        let request = platform_request("PUT", "gravacao", 0, 2, &body);
+        let (head, body) = request.split_at(request.len() - body.len());
+        let mut client = HttpClient::connect(front).await;
+        let pieces = head.chunks(head.len().div_ceil(4)).chain(body.chunks(10_000));
+        for piece in pieces {
+            client.0.write_all(piece).await.unwrap();
+            // The pace of the client, not a wait for anything.
+            let pause = if piece.len() < 10_000 { 450 } else { 160 };
+            tokio::time::sleep(std::time::Duration::from_millis(pause)).await;
+        }
+        assert_eq!(client.ask(b"").await.0, 200);
+        assert_eq!(boxed.seen.borrow()[0].2, body);
+    });
+}
