End idle connections quietly and early, before clients run out of connections of theirs

At fault: Line::is_over() in net/crowd.rs, which closed idle ones after 2.1 s only from half of the places on (132), while clients may hold 128; ruled out are restarts, the module and a lack of places (see the design). Red without: idle_connections_go_before_clients_run_out_of_theirs in tests/daily.rs.

--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -24,10 +24,13 @@
 /// A body may be behind such a rate, in bytes a second, by this much; slow clients send 64 kB a second.
 const BODY_RATE: f64 = 48e3;
 const BODY_BEHIND: Duration = Duration::from_millis(2000);
-/// A connection on which nothing was asked for so long may go, and goes where places run short.
-const IDLE: Duration = Duration::from_millis(2100);
-/// Else it may wait longer.
-const IDLE_QUIET: Duration = Duration::from_secs(20);
+/// How long a connection on which nothing is asked may stay, by the part of the places that are taken. Clients can
+/// have a third of the descriptors for requests, less than half of the places: those that asked once and keep their
+/// connection would fill it, and requests of others would find none.
+const IDLE: [(f64, Duration); 3] =
+    [(0.4, Duration::from_millis(300)), (0.25, Duration::from_millis(2100)), (0.0, Duration::from_secs(20))];
+/// What still comes behind a last answer is read for so long.
+const LEAVING: Duration = Duration::from_millis(2100);
 /// Where no place is left, others wait unheard: those that are silent or idle have only so long, and one on
 /// whose request nothing comes has the third.
 const FULL: (Duration, Duration, Duration) =
@@ -146,20 +149,22 @@
         }
     }
 
-    fn is_over(&self, now: Instant, crowded: bool, full: bool) -> bool {
+    fn rests(&self, now: Instant, most: Duration) -> bool {
+        self.stage.get() == Stage::Idle && now.saturating_duration_since(self.since.get()) > most
+    }
+
+    fn is_over(&self, now: Instant, full: bool) -> bool {
         let most = match self.stage.get() {
             Stage::Fresh if full => FULL.0,
             Stage::Fresh => FIRST_BYTE,
-            Stage::Leaving | Stage::Idle if full => FULL.1,
+            Stage::Leaving if full => FULL.1,
             Stage::Head | Stage::Body if full && now.saturating_duration_since(self.heard.get()) > FULL.2 => {
                 return true
             }
             Stage::Head => WHOLE_HEAD,
             Stage::Body => BODY_BEHIND + Duration::from_secs_f64(self.bytes.get() as f64 / BODY_RATE),
-            Stage::Idle if crowded => IDLE,
-            Stage::Leaving => IDLE,
-            Stage::Idle => IDLE_QUIET,
-            Stage::Taken | Stage::Moving => return false,
+            Stage::Leaving => LEAVING,
+            Stage::Idle | Stage::Taken | Stage::Moving => return false,
         };
         now.saturating_duration_since(self.since.get()) > most
     }
@@ -196,17 +201,26 @@
             // Nobody waits for a place of a process that another one has succeeded.
             let most = (most as f64 * host.part()).ceil() as usize;
             let (open, full) = (lines.len(), lines.len() >= most && host.succeeded_since().is_none());
+            let mut cut = 0;
             let succeeded = host.succeeded_since().map(|since| (since, SUCCEEDED));
             if let Some((since, leave)) = succeeded.or(host.leaves_since().map(|since| (since, LEAVE))) {
                 let leaving =
                     lines.iter().filter_map(Weak::upgrade).filter(|l| l.may_leave(now, since, leave));
                 leaving.for_each(|line| line.end_quietly());
             } else {
-                lines.iter().filter_map(Weak::upgrade).for_each(|line| line.ends.set(false));
+                let taken = |part: &&(f64, Duration)| open as f64 >= part.0 * most as f64;
+                let idle = IDLE.iter().find(taken).map_or(FULL.1, |(_, idle)| *idle);
+                let idle = if full { FULL.1 } else { idle };
+                for line in lines.iter().filter_map(Weak::upgrade) {
+                    line.ends.set(false);
+                    if line.rests(now, idle) {
+                        line.end_quietly();
+                        cut += 1;
+                    }
+                }
             }
-            let over =
-                lines.iter().filter_map(Weak::upgrade).filter(|l| l.is_over(now, open * 2 >= most, full));
-            let cut = over.map(|line| line.cut.notify_one()).count();
+            let over = lines.iter().filter_map(Weak::upgrade).filter(|l| l.is_over(now, full));
+            cut += over.map(|line| line.cut.notify_one()).count();
             if full && told.is_none_or(|at| now > at + Duration::from_secs(1)) {
                 log(&format!("{open} connections are open, the most there may be: {cut} silent or idle ones are closed"));
                 told = Some(now);
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -227,3 +227,23 @@
         assert_eq!(boxed.seen.borrow()[0].2, body);
     });
 }
+
+/// Clients may have a third of the descriptors, less than half of the places here. Those that asked once and
+/// kept their connection for good filled it, and were closed only from half of the places on.
+#[test]
+fn idle_connections_go_before_clients_run_out_of_theirs() {
+    story(async {
+        let (front, _, _) = http_front(&[]).await;
+        let health = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
+        // Of the 16 places here.
+        let mut idle = Vec::new();
+        for _ in 0..7 {
+            let mut client = HttpClient::connect(front).await;
+            assert_eq!(client.ask(health).await.0, 503);
+            idle.push(client);
+        }
+        let since = std::time::Instant::now();
+        assert_eq!(idle[0].0.read(&mut [0]).await.unwrap(), 0);
+        assert!(since.elapsed().as_millis() < 1500, "{:?}", since.elapsed());
+    });
+}
