Pass slow answers without a length on after 0.1 s, and take no slow answer for a slow box

At fault: read() in net/boxes.rs held chunked answers up to 64 KiB; Broker::give_up() gave the scheduler the whole time as a round trip, so that the box got rests; recall_late() in choice.rs called off attempts that hold no place. Ruled out: uploads (same round trips), boxes (same round trips by class). Red without: a_slow_answer_without_a_length..., what_a_box_has_begun_to_answer_or_has_not_whole_holds_no_place.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -453,7 +453,9 @@
         let flight = self.flights.remove(&(id, number))?;
         *self.ends.entry(format!("{end:?}")).or_default() += 1;
         effects.push(Effect::Abort(id, number));
-        Some(Event::Attempt(self.outcome(at, id, number, &flight, end.outcome())))
+        // One that is being answered says nothing of its box by ending late.
+        let heard = flight.began.unwrap_or(at);
+        Some(Event::Attempt(self.outcome(heard, id, number, &flight, end.outcome())))
     }
 
     /// What there is now, and what there was, retired.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -691,7 +691,7 @@
         }
         let gone = self.now.saturating_sub(span_of(self.set.shortest_aim()));
         let late = |o: &&Out| self.jobs.get(&o.job).is_some_and(|j| !j.over && j.aim_at <= gone);
-        let Some(out) = node.out.iter().filter(|o| !o.missed).find(late).cloned() else { return };
+        let Some(out) = node.out.iter().filter(|o| !o.missed && !o.free).find(late).cloned() else { return };
         self.acts.push(Action::Cancel { request: out.job, number: out.number });
         self.end(out.job);
     }
--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -31,6 +31,8 @@
 pub const BODY_MOST: usize = 64 * 1024;
 /// The most that a large body may hold, either way: what says more, or goes on past it, is spoilt.
 pub const BODIES_MOST: u64 = 40 << 20;
+/// An answer that does not say how long it is may be large: it is held for so long, and passed on from then.
+const HELD: Duration = Duration::from_millis(100);
 /// An answer that is held whole and stops so long on its way is spoilt.
 const STALLED: Duration = Duration::from_millis(1000);
 /// One that is passed on as it comes may stop longer: its client has what came, and knows that there is more.
@@ -335,7 +337,7 @@
     }
     let held = |stated: u64| end != End::Whole || stated <= BODY_MOST as u64;
     let whole = |stated: u64, came: usize| came as u64 >= stated;
-    let mut body = BytesMut::new();
+    let (mut body, since) = (BytesMut::new(), Instant::now());
     loop {
         if stated.is_some_and(|n| whole(n, body.len()) && held(n)) {
             // awc keeps the connection once its stream is read to the end.
@@ -357,7 +359,8 @@
             Ok(Some(Err(_))) | Err(_) => return Reply::none(End::SpoiltAnswer),
         }
         // What is larger goes on past the core from its first bytes on.
-        if stated.is_some_and(|n| !held(n)) || body.len() > BODY_MOST {
+        let long = stated.is_none() && end == End::Whole && since.elapsed() > HELD;
+        if stated.is_some_and(|n| !held(n)) || body.len() > BODY_MOST || long {
             if end != End::Whole {
                 return Reply::none(End::UnboundedAnswer);
             }
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -8,7 +8,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
 async fn operators(host: &shaletack::net::host::Host) -> SocketAddr {
@@ -161,6 +161,38 @@
     });
 }
 
+/// What does not say how long it is was held until 64 KiB of it were there, or its client had left.
+#[test]
+fn a_slow_answer_without_a_length_goes_on_as_it_comes() {
+    story(async {
+        let begun = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n".to_vec();
+        let place = peer(move |stream, _| {
+            let begun = begun.clone();
+            async move {
+                let mut s = BufReader::new(stream);
+                message(&mut s).await;
+                s.write_all(&begun).await.unwrap();
+                // The pace of the box: two pieces of an answer that has more.
+                for _ in 0..2 {
+                    tokio::time::sleep(std::time::Duration::from_millis(120)).await;
+                    s.write_all(b"4\r\nmore\r\n").await.unwrap();
+                }
+                std::future::pending::<()>().await;
+            }
+        })
+        .await;
+        let (front, _, host) = http_front(&[(place, 0)]).await;
+        let mut client = HttpClient::connect(front).await;
+        client.0.write_all(&platform_request("GET", "leitura", 0, 2, b"")).await.unwrap();
+        let mut came = Vec::new();
+        while !came.ends_with(b"more\r\n4\r\nmore\r\n") {
+            came.push(client.0.read_u8().await.unwrap());
+        }
+        assert!(came.starts_with(b"HTTP/1.1 200"));
+        assert_eq!(host.open(), 0);
+    });
+}
+
 /// A large request was turned away with 413; held whole, a few of them would be all of the memory.
 #[test]
 fn large_requests_pass_as_they_come_and_hold_no_place() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -421,6 +421,25 @@
     assert!(late(false).ends(3).is_empty());
 }
 
+/// One that is being answered, or whose body is not whole there, holds no place: the next goes out beside it, and
+/// nothing is called off for room.
+#[test]
+fn what_a_box_has_begun_to_answer_or_has_not_whole_holds_no_place() {
+    for free in [Event::Began(1), Event::Body { request: 1, moves: true }] {
+        let mut host = Host::new(settings());
+        for id in 1..=6 {
+            host.at(T0, &[Event::Request(request(id))]);
+        }
+        let out = |host: &Host| host.sends().len();
+        let before = out(&host);
+        assert!(before < 6);
+        host.at(T0 + MS, &[free]);
+        assert_eq!(out(&host), before + 1);
+        host.ring_until(T0 + 1100 * MS);
+        assert!(!host.log.iter().any(|(_, a)| *a == Action::Cancel { request: 1, number: 0 }));
+    }
+}
+
 #[test]
 fn a_run_of_one_key_goes_on_past_the_window() {
     let mut host = Host::new(settings());
