Count a target given back from the start that the list tells of

At fault: Broker::line() let the moment of the call back stand over the start that the list had told of seconds before, and choice.rs warms a box by that time. Red without: a_target_given_back_counts_from_its_start_while_it_was_out in tests/broker.rs.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -224,10 +224,23 @@
 struct Heard {
     member: Member,
     suspended: bool,
-    /// When it was last given back: it counts as started then, at the latest.
+    /// When it was last taken out, and given back. What the list says of a start after the first is the start that
+    /// operators gave it; until it says so, it counts as started at the second.
+    out: Duration,
     back: Duration,
 }
 
+impl Heard {
+    fn born(&self) -> Duration {
+        let listed = self.member.up_since.unwrap_or_default();
+        if listed > self.out {
+            listed
+        } else {
+            listed.max(self.back)
+        }
+    }
+}
+
 /// The state of one initiator.
 #[derive(Debug)]
 pub struct Broker {
@@ -536,9 +549,7 @@
     fn suspend(&mut self, at: Duration, id: &str, out: bool, effects: &mut Vec<Effect>) -> Option<Event> {
         let heard = self.heard.get_mut(id).filter(|h| h.suspended != out)?;
         heard.suspended = out;
-        if !out {
-            heard.back = at;
-        }
+        *(if out { &mut heard.out } else { &mut heard.back }) = at;
         let done = if out { "suspended" } else { "resumed, cold," };
         effects.push(Effect::Log(format!("{id} is {done} by hand")));
         let line = self.line(id)?;
@@ -547,14 +558,15 @@
 
     /// A box in the scheduler's terms: one that is taken out drains, whatever the list says.
     fn line(&self, id: &str) -> Option<NodeLine> {
-        let Heard { member, suspended, back } = self.heard.get(id)?;
-        let out = *suspended && member.readiness == Readiness::Ready;
+        let heard = self.heard.get(id)?;
+        let member = &heard.member;
+        let out = heard.suspended && member.readiness == Readiness::Ready;
         Some(NodeLine {
             node: node_number(id),
             zone: self.settings.zones.iter().position(|z| *z == member.zone).unwrap_or(0) as u16,
             shard: member.shard,
             readiness: if out { Readiness::Draining } else { member.readiness },
-            born: member.up_since.unwrap_or_default().max(*back),
+            born: heard.born(),
         })
     }
 
@@ -580,6 +592,7 @@
             heard.and_modify(|h| h.member = member.clone()).or_insert_with(|| Heard {
                 member: member.clone(),
                 suspended: false,
+                out: Duration::ZERO,
                 back: Duration::ZERO,
             });
             lines.extend(self.line(&member.id));
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -2,7 +2,7 @@
 
 use shaletack::broker::*;
 use shaletack::ending::End;
-use shaletack::interface::{Class, Effect as Repeat, ListKind, Plan, Readiness, Settings};
+use shaletack::interface::{Class, Effect as Repeat, ListKind, Plan, Readiness, Rules, Settings};
 use shaletack::members::{Member, Members};
 use std::time::{Duration, Instant};
 
@@ -46,15 +46,19 @@
     }
 
     fn list(&mut self, readiness: Readiness) {
+        self.list_at(MS, readiness, None);
+    }
+
+    fn list_at(&mut self, at: Duration, readiness: Readiness, up_since: Option<Duration>) {
         let entries = vec![Member {
             id: "s-0000000a".into(),
             address: Some("127.0.0.1:7".parse().unwrap()),
             zone: String::new(),
             shard: 0,
             readiness,
-            up_since: None,
+            up_since,
         }];
-        self.at(MS, Input::List(Members { revision: 1, kind: ListKind::Changes, entries }));
+        self.at(at, Input::List(Members { revision: 1, kind: ListKind::Changes, entries }));
     }
 }
 
@@ -105,6 +109,51 @@
     assert_eq!(told.broker.settings().classes.len(), 4);
 }
 
+/// A target that is given back is cold: since the start that the list tells of, or since now. It got as little as
+/// one that had just started, however long ago its operators had started it.
+#[test]
+fn a_target_given_back_counts_from_its_start_while_it_was_out() {
+    let sent_in = |started: Option<u64>| {
+        let mut told = Told::with(0);
+        let settings = Settings {
+            cold_bears: 4.0,
+            rules: Rules {
+                start_capacity: 0.1,
+                warm_up: 10_000 * MS,
+                overload: 3.0,
+                tip_after: 3000 * MS,
+                ..Rules::default()
+            },
+            ..Settings::clone(&told.broker.settings())
+        };
+        told.at(MS, Input::Settings(Box::new(settings)));
+        told.list(Readiness::Ready);
+        let id = || "s-0000000a".to_owned();
+        told.at(1000 * MS, Input::Order(Order::Suspend(id())));
+        if let Some(after) = started {
+            let up_since = Some(Duration::from_secs(1000) + Duration::from_millis(after));
+            told.list_at(2000 * MS, Readiness::Ready, up_since);
+        }
+        told.at(9000 * MS, Input::Order(Order::Resume(id())));
+        let mut sent = 0;
+        for n in 0..100 {
+            let at = 9000 * MS + n * 10 * MS;
+            let id = 100 + u64::from(n);
+            let effects = told.at(at, Input::Arrived(id, Ask { volume: id, ..ask(0) }));
+            for effect in effects {
+                if let Effect::Send { request, number, .. } = effect {
+                    sent += 1;
+                    told.at(at + MS, Input::Ended(request, number, Reply::none(End::Whole)));
+                }
+            }
+        }
+        sent
+    };
+    let (never, before, during) = (sent_in(None), sent_in(Some(500)), sent_in(Some(1500)));
+    assert!(never > 0 && never == before, "{never} {before}");
+    assert!(during > 2 * never, "{during} {never}");
+}
+
 /// The way back takes time: the answer to a request that a silent box holds leaves before its client does,
 /// and the attempt is given up with it. What the box sends after that is nobody's answer.
 #[test]
