--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -237,7 +237,7 @@
             .request(self.method.clone(), format!("http://{to}{}", self.target))
             .insert_header(("X-Trace-Id", self.trace.clone()))
             .insert_header(("X-Expires-In", format!("{:.3}", wait.as_secs_f64())));
-        let (body, rest) = (self.body.clone(), self.rest.clone());
+        let (body, rest, bare) = (self.body.clone(), self.rest.clone(), self.method == Method::HEAD);
         let tell = Rc::new(tell);
         let began = tell.clone();
         let attempt = async move {
@@ -257,7 +257,7 @@
                 }
             };
             let reply = match while_it_moves(sent, upload.as_deref()).await {
-                Ok(response) => read(response, permit, &rest).await,
+                Ok(response) => read(response, permit, &rest, bare).await,
                 // Of a request whose last byte was never handed on nothing has run.
                 Err(SendRequestError::Body(_)) => Reply::none(End::CalledOff),
                 Err(SendRequestError::Send(_)) if upload.as_ref().is_some_and(|u| !u.went.get()) => {
@@ -317,13 +317,16 @@
     mut response: ClientResponse<S>,
     permit: Option<OwnedSemaphorePermit>,
     rest: &RefCell<Option<Rest>>,
+    bare: bool,
 ) -> Reply
 where
     S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
     let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok()).map(str::trim);
     let never_ran = header("X-Never-Ran") == Some("1");
-    let stated: Option<u64> = header("Content-Length").and_then(|v| v.parse().ok());
+    // No body follows a head that was asked for alone, whatever it states.
+    let stated: Option<u64> =
+        if bare { Some(0) } else { header("Content-Length").and_then(|v| v.parse().ok()) };
     let used = figure(header("X-Iops-Used"), 100.0 * USED_MOST).map(|percent| percent / 100.0);
     let elsewhere = figure(header("X-Rho"), ELSEWHERE_MOST).unwrap_or(0.0);
     let end = match response.status() {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,7 +3,7 @@
 use super::boxes::{Boxes, Carried, Passed, Rest, Upload, BODIES_MOST, BODY_MOST};
 use super::crowd::{ClientStream, Crowd, Line};
 use super::gate::{Closing, Gate};
-use super::host::{log, Host};
+use super::host::{log, Host, Passing};
 use crate::broker::{Answer, Ask, Broker};
 use crate::interface::VolumeId;
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
@@ -191,7 +191,7 @@
     fn answer(&self, answer: Answer, rest: Rc<RefCell<Option<Rest>>>, line: Answered) -> Response<BoxBody> {
         match answer {
             Answer::Served(body) => match rest.take() {
-                Some(rest) => passed_on(rest, line),
+                Some(rest) => passed_on(rest, (line, self.host.passes())),
                 None => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
             },
             Answer::Refused(after) => {
@@ -205,7 +205,7 @@
 }
 
 /// A large answer, as its client takes it. Its line is answered with its last byte.
-fn passed_on(rest: Rest, line: Answered) -> Response<BoxBody> {
+fn passed_on(rest: Rest, line: (Answered, Passing)) -> Response<BoxBody> {
     let stated = rest.stated;
     let body = stream::unfold((rest, line), |(mut rest, line)| async move {
         let next = rest.next().await?;
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -15,6 +15,8 @@
 const IDLE_CLOSES: Duration = Duration::from_millis(550);
 /// What an answer may take on its way out once it is final.
 const LAST_ANSWERS: Duration = Duration::from_millis(500);
+/// A large answer that has begun may take this much longer to pass on; its request was answered in time.
+const LAST_BODIES: Duration = Duration::from_secs(60);
 
 /// Tells connections to close once they are idle.
 #[derive(Clone, Default)]
@@ -134,7 +136,18 @@
             closing.tell();
         }
         let longest = host.settings().longest();
-        let whole = tokio::time::timeout(longest + LAST_ANSWERS, count.below(|| 1)).await.is_ok();
+        let done = || count.below(|| 1);
+        let mut whole = tokio::time::timeout(longest + LAST_ANSWERS, done()).await.is_ok();
+        if !whole {
+            let passed = async {
+                while host.passing() > 0 {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            };
+            // Either way the connections say below what was left.
+            let _ = tokio::time::timeout(LAST_BODIES, passed).await;
+            whole = tokio::time::timeout(LAST_ANSWERS, done()).await.is_ok();
+        }
         log(&format!("stopped: {}", if whole { "all that was taken is answered" } else { "time ran out" }));
     }
 }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -36,6 +36,7 @@
     stopping: Cell<bool>,
     succeeded: Cell<Option<Instant>>,
     part: Cell<f64>,
+    passing: Cell<usize>,
 }
 
 /// The core and its loop, shared by the fronts.
@@ -55,6 +56,7 @@
             stopping: Cell::new(false),
             succeeded: Cell::new(None),
             part: Cell::new(1.0),
+            passing: Cell::new(0),
         }));
         actix_rt::spawn(host.clone().keep_time());
         host
@@ -185,6 +187,17 @@
         self.0.stopping.set(true);
     }
 
+    /// Large answers that are being passed on.
+    pub fn passing(&self) -> usize {
+        self.0.passing.get()
+    }
+
+    /// Counts one of them until it is dropped.
+    pub fn passes(&self) -> Passing {
+        self.0.passing.set(self.0.passing.get() + 1);
+        Passing(self.clone())
+    }
+
     /// Requests without a final answer.
     pub fn open(&self) -> usize {
         self.0.broker.borrow().open()
@@ -196,6 +209,15 @@
     }
 }
 
+/// A large answer that is being passed on.
+pub struct Passing(Host);
+
+impl Drop for Passing {
+    fn drop(&mut self) {
+        self.0 .0.passing.set(self.0.passing() - 1);
+    }
+}
+
 struct Leaving<'a> {
     host: &'a Host,
     id: RequestId,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -243,7 +243,7 @@
     let cut = file("over-cut.json", "{\"name\":");
     let (_new, mut lines, new_place) = version(&held, &folder, &cut);
     ready(&new_place);
-    let inherited = lines.find(|l| l.starts_with("inherited: ")).unwrap();
+    let inherited = lines.by_ref().take(60).find(|l| l.starts_with("inherited: ")).unwrap();
     assert!(inherited.contains("1 boxes of revision 41, 1 suspended, drained: false"), "{inherited}");
     // A call to either binds both.
     assert_eq!(call(&new_place, "POST /v1/initiator/drain"), 200);
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -375,6 +375,14 @@
 
 /// The platform's front over these boxes.
 pub async fn http_front(boxes: &[(SocketAddr, u16)]) -> (SocketAddr, Rc<Notify>, Host) {
+    let (address, stop, core, _) = http_front_until(boxes).await;
+    (address, stop, core)
+}
+
+/// The same, and the task that ends once the front has stopped.
+pub async fn http_front_until(
+    boxes: &[(SocketAddr, u16)],
+) -> (SocketAddr, Rc<Notify>, Host, tokio::task::JoinHandle<()>) {
     let known = boxes.len();
     let nowhere = ("127.0.0.1:9".parse().unwrap(), 0);
     let Operator { settings, mut boxes, .. } = operator(&[boxes, &[nowhere, (nowhere.0, 1)]].concat());
@@ -391,8 +399,9 @@
         succeeded: Rc::new(|| false),
     };
     let until = stop.clone();
-    actix_rt::spawn(async move { shaletack::net::front::serve(front, listener, until.notified()).await });
-    (address, stop, core)
+    let served =
+        actix_rt::spawn(async move { shaletack::net::front::serve(front, listener, until.notified()).await });
+    (address, stop, core, served)
 }
 
 static LAST_ID: AtomicU64 = AtomicU64::new(0x9b1f_03aa_5c7e_2d41);
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -161,6 +161,50 @@
     });
 }
 
+/// A large answer takes as long as its client does; a stop ended the process a deadline after the signal.
+#[test]
+fn a_stop_waits_for_large_answers_that_are_being_passed_on() {
+    story(async {
+        let large = vec![7; 30_000_000];
+        let sent = answer("200 OK", &large, 0);
+        let boxed = HttpBox::start(move |_, _| Some((sent.clone(), false))).await;
+        let (address, stop, host, served) = http_front_until(&[(boxed.address, 0)]).await;
+        let mut client = HttpClient::connect(address).await;
+        client.0.write_all(&platform_request("GET", "leitura", 0, 2, b"")).await.unwrap();
+        assert_eq!(client.0.read_u8().await.unwrap(), b'H');
+        stop.notify_one();
+        // The pace of the client, past the longest deadline here and what the last answers may take.
+        tokio::time::sleep(std::time::Duration::from_millis(3000)).await;
+        assert!(!served.is_finished() && host.passing() == 1);
+        let mut rest = Vec::new();
+        client.0.read_to_end(&mut rest).await.unwrap();
+        assert!(rest.ends_with(&large[..]));
+        served.await.unwrap();
+        assert_eq!(host.passing(), 0);
+    });
+}
+
+/// A head alone is asked for: its answer states a length that no body follows.
+#[test]
+fn a_head_passes_and_its_connection_goes_on() {
+    story(async {
+        let script = |_: usize, head: &str| {
+            let length = if head.starts_with("HEAD") { 5 } else { 0 };
+            Some((answer("200 OK", b"whole", length), false))
+        };
+        let boxed = HttpBox::start(script).await;
+        let (front, _, _) = http_front(&[(boxed.address, 0)]).await;
+        let mut client = HttpClient::connect(front).await;
+        let head = platform_request("HEAD", "leitura", 0, 2, b"");
+        assert_eq!(client.ask(&head).await.0, 200);
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        let (status, _, body) = client.ask(&platform_request("GET", "leitura", 0, 2, b"")).await;
+        assert_eq!((status, body.as_slice()), (200, &b"whole"[..]));
+        let seen = boxed.seen.borrow();
+        assert!(seen[0].1.starts_with("HEAD /leitura/") && seen[0].0 == seen[1].0);
+    });
+}
+
 /// What does not say how long it is was held until 64 KiB of it were there, or its client had left.
 #[test]
 fn a_slow_answer_without_a_length_goes_on_as_it_comes() {
