Pass answers without a length on after 20 ms, whether or not more has come

At fault: read() in net/boxes.rs looked at the 0.1 s only when the next piece came, and large answers are timed by their first bytes.

--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -32,7 +32,7 @@
 /// The most that a large body may hold, either way: what says more, or goes on past it, is spoilt.
 pub const BODIES_MOST: u64 = 40 << 20;
 /// An answer that does not say how long it is may be large: it is held for so long, and passed on from then.
-const HELD: Duration = Duration::from_millis(100);
+const HELD: Duration = Duration::from_millis(20);
 /// An answer that is held whole and stops so long on its way is spoilt.
 const STALLED: Duration = Duration::from_millis(1000);
 /// One that is passed on as it comes may stop longer: its client has what came, and knows that there is more.
@@ -350,7 +350,9 @@
             });
             break;
         }
-        match tokio::time::timeout(STALLED, response.next()).await {
+        let open = stated.is_none() && end == End::Whole;
+        let wait = if open && !body.is_empty() { HELD.saturating_sub(since.elapsed()) } else { STALLED };
+        match tokio::time::timeout(wait, response.next()).await {
             Ok(Some(Ok(chunk))) => {
                 body.extend_from_slice(&chunk);
             }
@@ -359,10 +361,11 @@
             Ok(Some(Err(PayloadError::Io(why)))) if why.kind() != std::io::ErrorKind::InvalidData => {
                 return Reply::none(End::HalfAnswer)
             }
+            Err(_) if wait < STALLED => {}
             Ok(Some(Err(_))) | Err(_) => return Reply::none(End::SpoiltAnswer),
         }
         // What is larger goes on past the core from its first bytes on.
-        let long = stated.is_none() && end == End::Whole && since.elapsed() > HELD;
+        let long = open && !body.is_empty() && since.elapsed() >= HELD;
         if stated.is_some_and(|n| !held(n)) || body.len() > BODY_MOST || long {
             if end != End::Whole {
                 return Reply::none(End::UnboundedAnswer);
