--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -327,6 +327,9 @@
     // No body follows a head that was asked for alone, whatever it states.
     let stated: Option<u64> =
         if bare { Some(0) } else { header("Content-Length").and_then(|v| v.parse().ok()) };
+    // One that neither says so nor is chunked may never end: it is held as far as it can be.
+    let closes = header("Connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+    let ends = stated.is_none() && (closes || header("Transfer-Encoding").is_some());
     let used = figure(header("X-Iops-Used"), 100.0 * USED_MOST).map(|percent| percent / 100.0);
     let elsewhere = figure(header("X-Rho"), ELSEWHERE_MOST).unwrap_or(0.0);
     let end = match response.status() {
@@ -350,7 +353,7 @@
             });
             break;
         }
-        let open = stated.is_none() && end == End::Whole;
+        let open = ends && end == End::Whole;
         let wait = if open && !body.is_empty() { HELD.saturating_sub(since.elapsed()) } else { STALLED };
         match tokio::time::timeout(wait, response.next()).await {
             Ok(Some(Ok(chunk))) => {
