Move what all fronts share to src/runtime, so that nbd imports nothing of net

Cause: host, gate and lines serve every front, yet lay in the platform's folder, and nbd and etcd imported net for them. Peers will be a third user.

Change: src/runtime holds host, gate, lines and log (the log cut out of host); net is HTTP alone.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod nbd;
 pub mod net;
 pub mod operator;
+pub mod runtime;
 pub mod settings;
 mod state;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,9 +10,10 @@
 use shaletack::nbd;
 use shaletack::net::front::{self, Traces};
 use shaletack::net::handover::{self, Link, Will};
-use shaletack::net::host::{self, Host};
 use shaletack::net::{boxes, management, watch};
 use shaletack::operator::{self, Operator};
+use shaletack::runtime::host::Host;
+use shaletack::runtime::log::log;
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
@@ -153,7 +154,7 @@
     while hangup.recv().await.is_some() {
         match read() {
             Ok(new) => put(new),
-            Err(fault) => host::log(&format!("the new configuration is not used: {fault}")),
+            Err(fault) => log(&format!("the new configuration is not used: {fault}")),
         }
     }
 }
@@ -169,7 +170,7 @@
     // Of a new file the list of boxes counts at once, or where it is followed; clients' contracts and
     // mounts stay as they are until the next start.
     let put = move |new: Operator| {
-        host::log("the operator's file is read again: the list of boxes counts from now on");
+        log("the operator's file is read again: the list of boxes counts from now on");
         if new.etcd.is_none() {
             core.feed(Input::List(Members { kind: ListKind::Full, ..new.boxes }));
         }
@@ -183,7 +184,7 @@
     let listener =
         TcpListener::bind(operator.listen).await.map_err(|e| format!("{}: {e}", operator.listen))?;
     let place = listener.local_addr().map_err(|e| format!("{}: {e}", operator.listen))?;
-    host::log(&format!("NBD, {} exports, listens on {place}", operator.exports.len()));
+    log(&format!("NBD, {} exports, listens on {place}", operator.exports.len()));
     nbd::front::serve(host, operator, listener, async move {
         term.recv().await;
     })
@@ -217,7 +218,7 @@
     let (config, file) = match (loaded, &heir) {
         // The predecessor turned such a file down, and serves by the one before.
         (Err(fault), Some((will, _))) => {
-            host::log(&format!("the new configuration is not used: {fault}; the predecessor's is"));
+            log(&format!("the new configuration is not used: {fault}; the predecessor's is"));
             let config = config::read(&mut will.text.clone().into_bytes(), |name| std::env::var(name).ok())?;
             (config, file.or_else(|| std::env::var("ROUTER_CONFIG").ok()).ok_or(fault)?)
         }
@@ -236,7 +237,7 @@
     let Config { name, listen, discovery, management, seed, sockets, memory_mb, known, settings, text } =
         config;
     let host = start(settings.clone(), seed);
-    host::log(&format!("{name} starts: {} boxes known of revision {}", known.entries.len(), known.revision));
+    log(&format!("{name} starts: {} boxes known of revision {}", known.entries.len(), known.revision));
     host.feed(Input::List(known));
     let link = Link::new(host.clone(), handover::path(&name));
     let (traces, ready) = (Rc::new(RefCell::new(Traces::default())), Rc::new(Cell::new(false)));
@@ -251,7 +252,7 @@
         rest = rest.saturating_sub(management::PLACES);
         let calls = TcpListener::bind(place).await.map_err(|e| format!("management at {place}: {e}"))?;
         let place = calls.local_addr().map_err(|e| format!("management at {place}: {e}"))?;
-        host::log(&format!("operators call at {place}"));
+        log(&format!("operators call at {place}"));
         actix_rt::spawn(management::serve(host.clone(), link.clone(), calls, ready.clone()));
     }
     let mut watch = watch::Watch::start(host.clone(), discovery, host.look(Broker::revision));
@@ -271,7 +272,7 @@
     let put = move |new: Config| {
         let classes: Vec<&str> = new.settings.classes.iter().map(|c| c.name.as_str()).collect();
         let (discovery, classes, tries) = (new.discovery, classes.join(", "), new.settings.try_limit);
-        host::log(&format!(
+        log(&format!(
             "the configuration is read again: discovery is at {discovery}, classes {classes}, {tries} attempts at most"
         ));
         watch.move_to(discovery);
@@ -284,7 +285,7 @@
         None => TcpListener::bind(listen).await,
     };
     let listener = listener.map_err(|e| format!("{listen}: {e}"))?;
-    host::log(&format!("{name} listens on {}", listener.local_addr().map_err(|e| format!("{listen}: {e}"))?));
+    log(&format!("{name} listens on {}", listener.local_addr().map_err(|e| format!("{listen}: {e}"))?));
     let boxes = boxes::Boxes::new(&settings, rest / 4);
     // Where memory is short there is room for fewer connections than descriptors.
     let room = match memory_mb {
--- a/src/nbd/boxes.rs
+++ b/src/nbd/boxes.rs
@@ -3,7 +3,7 @@
 use super::codec::*;
 use crate::broker::Reply;
 use crate::ending::End;
-use crate::net::host::{Errand, Tell};
+use crate::runtime::host::{Errand, Tell};
 use bytes::Bytes;
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use std::cell::RefCell;
--- a/src/nbd/front.rs
+++ b/src/nbd/front.rs
@@ -3,9 +3,9 @@
 use super::boxes::{Boxes, Piece};
 use super::codec::*;
 use crate::broker::{Answer, Ask};
-use crate::net::gate::{Closing, Gate};
-use crate::net::host::Host;
 use crate::operator::{Export, Operator};
+use crate::runtime::gate::{Closing, Gate};
+use crate::runtime::host::Host;
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::collections::BTreeSet;
--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -1,10 +1,10 @@
 //! Attempts at disk boxes, over HTTP with awc.
 
-use super::host::{Errand, Tell};
 use super::stream::{BoxStream, Idling, BEGAN};
 use crate::broker::{News, Reply};
 use crate::ending::End;
 use crate::interface::Settings;
+use crate::runtime::host::{Errand, Tell};
 use actix_http::body::{BodyStream, SizedStream};
 use actix_http::error::ParseError;
 use actix_http::{Method, StatusCode};
--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -3,7 +3,8 @@
 //! actix-http has one clock for a connection's first head, one for an idle connection and none for a body;
 //! it reads up to 128 KiB of a head, and as much again of requests sent ahead. Here each has its own bound.
 
-use super::host::{log, Host};
+use crate::runtime::host::Host;
+use crate::runtime::log::log;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -2,10 +2,11 @@
 
 use super::boxes::{Boxes, Carried, Passed, Rest, Upload, BODIES_MOST, BODY_MOST};
 use super::crowd::{ClientStream, Crowd, Line};
-use super::gate::{Closing, Gate};
-use super::host::{log, Host, Passing};
 use crate::broker::{Answer, Ask, Broker};
 use crate::interface::VolumeId;
+use crate::runtime::gate::{Closing, Gate};
+use crate::runtime::host::{Host, Passing};
+use crate::runtime::log::log;
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
 use actix_http::header::HeaderMap;
 use actix_http::{
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -2,8 +2,9 @@
 //! by the initiator. What the older knows goes over it in one line; the link then stays until either ends, so
 //! that what operators ask of one process binds both, and each budget is spent by the two together once.
 
-use super::host::{log, Host};
 use crate::broker::{Input, Legacy, Order};
+use crate::runtime::host::Host;
+use crate::runtime::log::log;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/src/net/management.rs
+++ b/src/net/management.rs
@@ -1,8 +1,9 @@
 //! The operators' address: one call on each connection, beside the clients' front and never behind its gate.
 
 use super::handover::Link;
-use super::host::{log, Host};
 use crate::broker::Order;
+use crate::runtime::host::Host;
+use crate::runtime::log::log;
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use actix_service::{fn_service, Service, ServiceFactory};
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -1,9 +1,10 @@
 //! The watch of discovery: the list as it changes, followed for as long as the program runs.
 
-use super::host::{log, Host};
-use super::lines::Lines;
 use crate::broker::Input;
 use crate::members;
+use crate::runtime::host::Host;
+use crate::runtime::lines::Lines;
+use crate::runtime::log::log;
 use awc::{Client, Connector};
 use std::cell::Cell;
 use std::net::SocketAddr;
--- a/src/net/gate.rs
+++ b/src/runtime/gate.rs
@@ -1,6 +1,7 @@
 //! The way in and out that all fronts share: accepting, and ending as the platform asks.
 
-use super::host::{log, Host};
+use super::host::Host;
+use super::log::log;
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -2,8 +2,8 @@
 
 use shaletack::broker::{Broker, Clock, Input};
 use shaletack::nbd::codec::*;
-use shaletack::net::host::Host;
 use shaletack::operator::{self, Operator};
+use shaletack::runtime::host::Host;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
-async fn operators(host: &shaletack::net::host::Host) -> SocketAddr {
+async fn operators(host: &shaletack::runtime::host::Host) -> SocketAddr {
     let (listener, address) = loopback().await;
     let link = Link::new(host.clone(), handover::path("nobody"));
     actix_rt::spawn(management::serve(host.clone(), link, listener, Rc::new(Cell::new(true))));
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -478,7 +478,7 @@
             };
             assert_eq!(status, error, "shard {shard}, {size} bytes, written: {write}");
         }
-        let figures = |host: &shaletack::net::host::Host| host.look(|b| b.tallies().to_vec());
+        let figures = |host: &shaletack::runtime::host::Host| host.look(|b| b.tallies().to_vec());
         let (a, b) = (figures(&http_host), figures(&nbd_host));
         assert_eq!(a, b);
         assert!(a.iter().map(|t| t.1.served).sum::<u64>() == 4 && a[1].1.failed == 2, "{a:?}");
