--- a/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -1,4 +1,4 @@
-//! Every decision of shaletack. The types it speaks in are in `src/interface.rs`.
+//! Every decision of shaletack. The types it speaks in are in `interface.rs`.
 //!
 //! A batch is absorbed event by event; then overdue requests are ended, the list is asked for where it
 //! must be, and one dispatch pass offers each node's free places to the held requests in tag order.
--- a/src/measure.rs
+++ b/crates/core/src/measure.rs
@@ -1,4 +1,4 @@
-//! Arithmetic that `src/choice.rs` uses; nothing is decided or tuned here.
+//! Arithmetic that `choice.rs` uses; nothing is decided or tuned here.
 
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
--- a/src/memo.rs
+++ b/crates/core/src/memo.rs
@@ -1,5 +1,5 @@
 //! The messages hosts send each other, and their bytes. What is asked and given is decided in
-//! `src/choice.rs`.
+//! `choice.rs`.
 
 /// A message between two hosts about the units of a limited volume.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,4 +1,4 @@
-//! What `src/choice.rs` remembers of requests, nodes and volumes; nothing is decided or tuned here.
+//! What `choice.rs` remembers of requests, nodes and volumes; nothing is decided or tuned here.
 
 use crate::interface::*;
 use crate::measure::{Bucket, Rate, Recent};
