Log structured events through tracing, as text or JSON, under the same bound

Need: lines were texts put together where they arose; a log of many initiators can't be searched by box, revision or class.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -5,6 +5,7 @@
 use crate::ending::End;
 use crate::interface::*;
 use crate::members::{Member, Members};
+use crate::notice::Notice;
 use crate::state::Learnt;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -158,8 +159,8 @@
     Answer(RequestId, Answer),
     /// Come back with [`Input::Woke`] then; an earlier wait is void.
     Wake(Instant),
-    /// A line for the log.
-    Log(String),
+    /// Something for the operators to know.
+    Log(Notice),
 }
 
 /// What became of the requests of one class.
@@ -327,12 +328,12 @@
             Input::Order(Order::Drain) => {
                 if self.drained.is_none() {
                     self.drained = Some(at);
-                    effects.push(Effect::Log("drained by hand: clients are to go elsewhere".into()));
+                    effects.push(Effect::Log(Notice::Drained));
                 }
             }
             Input::Order(Order::Activate) => {
                 if self.drained.take().is_some() {
-                    effects.push(Effect::Log("activated by hand: clients are taken again".into()));
+                    effects.push(Effect::Log(Notice::Activated));
                 }
             }
             Input::Woke => {}
@@ -515,11 +516,12 @@
     fn inherit(&mut self, at: Duration, legacy: Legacy, part: f64, effects: &mut Vec<Effect>) -> Vec<Event> {
         let entries = legacy.heard.values().map(|h| h.member.clone()).collect();
         let members = Members { revision: legacy.revision, kind: ListKind::Cached, entries };
-        let (out, boxes) = (legacy.heard.values().filter(|h| h.suspended).count(), members.entries.len());
-        effects.push(Effect::Log(format!(
-            "inherited: {boxes} boxes of revision {}, {out} suspended, drained: {}",
-            legacy.revision, legacy.drained
-        )));
+        effects.push(Effect::Log(Notice::Inherited {
+            revision: legacy.revision,
+            boxes: members.entries.len(),
+            suspended: legacy.heard.values().filter(|h| h.suspended).count(),
+            drained: legacy.drained,
+        }));
         self.heard = legacy.heard;
         self.drained = legacy.drained.then_some(at);
         let list = self.listed(members, effects);
@@ -550,8 +552,8 @@
         let heard = self.heard.get_mut(id).filter(|h| h.suspended != out)?;
         heard.suspended = out;
         *(if out { &mut heard.out } else { &mut heard.back }) = at;
-        let done = if out { "suspended" } else { "resumed, cold," };
-        effects.push(Effect::Log(format!("{id} is {done} by hand")));
+        let notice = if out { Notice::Suspended } else { Notice::Resumed };
+        effects.push(Effect::Log(notice(id.into())));
         let line = self.line(id)?;
         Some(Event::List { kind: ListKind::Changes, lines: vec![line] })
     }
@@ -587,7 +589,11 @@
                 self.names.insert(member.id.clone(), node);
                 self.addresses.extend(member.address.map(|a| (node, a)));
             }
-            effects.push(Effect::Log(news(&members, member)));
+            effects.push(Effect::Log(Notice::Listed {
+                revision: members.revision,
+                kind: members.kind,
+                member: member.clone(),
+            }));
             let heard = self.heard.entry(member.id.clone());
             heard.and_modify(|h| h.member = member.clone()).or_insert_with(|| Heard {
                 member: member.clone(),
@@ -634,7 +640,7 @@
                 effects.push(Effect::Answer(request, Answer::Failed));
             }
             Action::Wake(then) => self.wake = Some(self.wake.map_or(then, |w| w.min(then))),
-            Action::Log(line) => effects.push(Effect::Log(line)),
+            Action::Log(line) => effects.push(Effect::Log(Notice::Decided(line))),
             // The list is always watched, idle connections end by their own clock, and neither probes
             // nor messages between initiators are asked for where the settings forbid them.
             Action::Watch(_) | Action::Fetch | Action::CloseIdle(_) => {}
@@ -655,29 +661,14 @@
             return;
         }
         self.told_at = at;
-        let classes = self.tallies.iter().map(|(name, t)| {
-            let (refused, failed, left) = (t.refused, t.failed, t.left);
-            format!(
-                "{name} {} taken {} served {refused} refused {failed} failed {left} left",
-                t.taken, t.served
-            )
-        });
-        let ends = self.ends.iter().map(|(end, count)| format!("{end} {count}"));
-        let (classes, ends) = (classes.collect::<Vec<_>>().join(", "), ends.collect::<Vec<_>>().join(", "));
-        effects.push(Effect::Log(format!("so far: {classes}; attempts: {ends}; open {}", self.open.len())));
+        effects.push(Effect::Log(Notice::SoFar {
+            classes: self.tallies.clone(),
+            ends: self.ends.iter().map(|(end, count)| (end.clone(), *count)).collect(),
+            open: self.open.len(),
+        }));
     }
 }
 
-fn news(members: &Members, member: &Member) -> String {
-    let (kind, revision) = (members.kind, members.revision);
-    let place = member.address.map_or(String::new(), |a| format!(" at {a}"));
-    let up = member.up_since.map_or(String::new(), |t| format!(", up since {:.3}", t.as_secs_f64()));
-    format!(
-        "list {revision} ({kind:?}): {} {:?}{place}, shard {}{up}",
-        member.id, member.readiness, member.shard
-    )
-}
-
 /// A number for a box's name, the same at every initiator.
 fn node_number(id: &str) -> NodeId {
     let digits = id.rsplit('-').next().unwrap_or(id);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,5 +15,6 @@
 mod measure;
 pub mod members;
 pub mod memo;
+pub mod notice;
 pub mod settings;
 mod state;
--- /dev/null
+++ b/crates/core/src/notice.rs
@@ -0,0 +1,49 @@
+//! What the core wants the operators to know, as values: a host gives them their form.
+
+use crate::broker::Tally;
+use crate::interface::ListKind;
+use crate::members::Member;
+
+/// One thing to be told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// A box as the list now has it.
+    Listed {
+        /// The list's version.
+        revision: u64,
+        /// What the report held.
+        kind: ListKind,
+        /// The entry.
+        member: Member,
+    },
+    /// What a predecessor left has been taken over.
+    Inherited {
+        /// The version of its list.
+        revision: u64,
+        /// How many boxes it named.
+        boxes: usize,
+        /// How many of them operators took out.
+        suspended: usize,
+        /// Its clients were to go elsewhere.
+        drained: bool,
+    },
+    /// An operator took a box out.
+    Suspended(String),
+    /// An operator gave a box back; it counts as just started.
+    Resumed(String),
+    /// Clients are to go elsewhere, by hand.
+    Drained,
+    /// Clients are taken again, by hand.
+    Activated,
+    /// Counts since the start.
+    SoFar {
+        /// What became of requests, by class.
+        classes: Vec<(String, Tally)>,
+        /// How many attempts ended in which way.
+        ends: Vec<(String, u64)>,
+        /// Requests without a final answer.
+        open: usize,
+    },
+    /// A line of the scheduler's.
+    Decided(String),
+}
--- a/src/etcd.rs
+++ b/src/etcd.rs
@@ -9,11 +9,11 @@
 use crate::operator::Etcd;
 use crate::runtime::host::Host;
 use crate::runtime::lines::Lines;
-use crate::runtime::log::log;
 use awc::{Client, Connector};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use std::time::Duration;
+use tracing::warn;
 
 /// etcd sends nothing while nothing changes; after so long a watch is asked for anew, in case it is dead.
 const SILENT: Duration = Duration::from_secs(30);
@@ -54,7 +54,7 @@
             },
         };
         wait = if revision > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
-        log(&format!("etcd: {why}; again from {revision:?} in {} ms", wait.as_millis()));
+        warn!(%why, revision, again_in_ms = wait.as_millis() as u64, "etcd: the list is asked for again");
         tokio::time::sleep(wait).await;
     }
 }
@@ -116,7 +116,7 @@
             Err(format!("key {id} holds the entry of {}", member.id))
         }
     };
-    read().map_err(|fault: String| log(&format!("etcd: an entry is passed over: {fault}"))).ok()
+    read().map_err(|fault: String| warn!(why = %fault, "etcd: an entry is passed over")).ok()
 }
 
 fn id_of(key: &[u8], etcd: &Etcd) -> Result<String, String> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,7 +13,7 @@
 use shaletack::net::{boxes, management, watch};
 use shaletack::operator::{self, Operator};
 use shaletack::runtime::host::Host;
-use shaletack::runtime::log::log;
+use shaletack::runtime::log::{self, Form};
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
@@ -23,6 +23,8 @@
 use tokio::io::BufReader;
 use tokio::net::{TcpListener, UnixStream};
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tracing::level_filters::LevelFilter;
+use tracing::{info, warn};
 
 const USAGE: &str = "\
 usage: shaletack [serve] [--config FILE]    serve the platform until SIGTERM (the default)
@@ -30,6 +32,8 @@
        shaletack check-config [FILE]        read a configuration and say what is wrong with it
        shaletack check-config --operator FILE
        shaletack version                    print the version
+       --log-form text|json                 the form of the log on standard error (text)
+       --log-level error|warn|info|debug    the least level that is written (info)
 The configuration's file is FILE, or else $ROUTER_CONFIG.";
 
 /// Descriptors kept for what is neither a client's, an operator's nor a box's connection.
@@ -58,63 +62,79 @@
 
 fn main() -> ExitCode {
     let done = match command(lexopt::Parser::from_env()) {
-        Ok(Command::Serve(Source::Platform(file))) => {
+        Ok((command, form, level)) => {
+            if matches!(command, Command::Serve(_)) {
+                log::start(form, level);
+            }
+            carry_out(command)
+        }
+        Err(error) => Err(format!("{error}; see shaletack --help")),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("shaletack: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn carry_out(command: Command) -> Result<(), String> {
+    match command {
+        Command::Serve(Source::Platform(file)) => {
             held_socket().and_then(|held| actix_rt::System::new().block_on(serve(file, held)))
         }
-        Ok(Command::Serve(Source::Operator(file))) => {
+        Command::Serve(Source::Operator(file)) => {
             load_operator(&file).and_then(|o| actix_rt::System::new().block_on(run_nbd(o, file)))
         }
-        Ok(Command::CheckConfig(Source::Platform(file))) => load(file).map(|(config, _)| {
+        Command::CheckConfig(Source::Platform(file)) => load(file).map(|(config, _)| {
             let (boxes, plans) = (config.known.entries.len(), config.settings.plans.len());
             println!("configuration of {} is sound: {boxes} boxes known, {plans} plans", config.name);
         }),
-        Ok(Command::CheckConfig(Source::Operator(file))) => load_operator(&file).map(|o| {
+        Command::CheckConfig(Source::Operator(file)) => load_operator(&file).map(|o| {
             let (exports, plans) = (o.exports.len(), o.settings.plans.len());
             println!(
                 "{file} is sound: {exports} exports, {plans} contracts, {} boxes",
                 o.boxes.entries.len()
             );
         }),
-        Ok(Command::Version) => {
+        Command::Version => {
             println!("shaletack {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Ok(Command::Help) => {
+        Command::Help => {
             println!("{USAGE}");
             Ok(())
         }
-        Err(error) => Err(format!("{error}; see shaletack --help")),
-    };
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("shaletack: {fault}");
-            ExitCode::FAILURE
-        }
     }
 }
 
-fn command(mut args: lexopt::Parser) -> Result<Command, lexopt::Error> {
+/// What is to be done, and the form and the least level of the log.
+fn command(mut args: lexopt::Parser) -> Result<(Command, Form, LevelFilter), lexopt::Error> {
+    let (mut form, mut level) = (Form::Text, LevelFilter::INFO);
     let (mut name, mut file, mut operator) = (None, None, None);
     while let Some(arg) = args.next()? {
         match arg {
             Long("config") => file = Some(args.value()?.string()?),
             Long("operator") => operator = Some(args.value()?.string()?),
-            Long("help") | Short('h') => return Ok(Command::Help),
-            Long("version") | Short('V') => return Ok(Command::Version),
+            Long("log-form") => form = args.value()?.parse()?,
+            Long("log-level") => level = args.value()?.parse()?,
+            Long("help") | Short('h') => return Ok((Command::Help, form, level)),
+            Long("version") | Short('V') => return Ok((Command::Version, form, level)),
             Value(word) if name.is_none() => name = Some(word.string()?),
             Value(word) if name.as_deref() == Some("check-config") => file = Some(word.string()?),
             other => return Err(other.unexpected()),
         }
     }
     let source = operator.map_or(Source::Platform(file), Source::Operator);
-    match name.as_deref() {
-        None | Some("serve") => Ok(Command::Serve(source)),
-        Some("check-config") => Ok(Command::CheckConfig(source)),
-        Some("version") => Ok(Command::Version),
-        Some("help") => Ok(Command::Help),
-        Some(other) => Err(format!("'{other}' is not a sub-command").into()),
-    }
+    let command = match name.as_deref() {
+        None | Some("serve") => Command::Serve(source),
+        Some("check-config") => Command::CheckConfig(source),
+        Some("version") => Command::Version,
+        Some("help") => Command::Help,
+        Some(other) => return Err(format!("'{other}' is not a sub-command").into()),
+    };
+    Ok((command, form, level))
 }
 
 /// The file's name too, for later reading.
@@ -154,7 +174,7 @@
     while hangup.recv().await.is_some() {
         match read() {
             Ok(new) => put(new),
-            Err(fault) => log(&format!("the new configuration is not used: {fault}")),
+            Err(fault) => warn!(why = %fault, "the new configuration is not used"),
         }
     }
 }
@@ -170,7 +190,7 @@
     // Of a new file the list of boxes counts at once, or where it is followed; clients' contracts and
     // mounts stay as they are until the next start.
     let put = move |new: Operator| {
-        log("the operator's file is read again: the list of boxes counts from now on");
+        info!("the operator's file is read again: the list of boxes counts from now on");
         if new.etcd.is_none() {
             core.feed(Input::List(Members { kind: ListKind::Full, ..new.boxes }));
         }
@@ -184,7 +204,7 @@
     let listener =
         TcpListener::bind(operator.listen).await.map_err(|e| format!("{}: {e}", operator.listen))?;
     let place = listener.local_addr().map_err(|e| format!("{}: {e}", operator.listen))?;
-    log(&format!("NBD, {} exports, listens on {place}", operator.exports.len()));
+    info!(at = %place, exports = operator.exports.len(), "listens for NBD");
     nbd::front::serve(host, operator, listener, async move {
         term.recv().await;
     })
@@ -218,7 +238,7 @@
     let (config, file) = match (loaded, &heir) {
         // The predecessor turned such a file down, and serves by the one before.
         (Err(fault), Some((will, _))) => {
-            log(&format!("the new configuration is not used: {fault}; the predecessor's is"));
+            warn!(why = %fault, "the new configuration is not used; the predecessor's is");
             let config = config::read(&mut will.text.clone().into_bytes(), |name| std::env::var(name).ok())?;
             (config, file.or_else(|| std::env::var("ROUTER_CONFIG").ok()).ok_or(fault)?)
         }
@@ -237,7 +257,7 @@
     let Config { name, listen, discovery, management, seed, sockets, memory_mb, known, settings, text } =
         config;
     let host = start(settings.clone(), seed);
-    log(&format!("{name} starts: {} boxes known of revision {}", known.entries.len(), known.revision));
+    info!(name, boxes = known.entries.len(), revision = known.revision, "starts");
     host.feed(Input::List(known));
     let link = Link::new(host.clone(), handover::path(&name));
     let (traces, ready) = (Rc::new(RefCell::new(Traces::default())), Rc::new(Cell::new(false)));
@@ -252,7 +272,7 @@
         rest = rest.saturating_sub(management::PLACES);
         let calls = TcpListener::bind(place).await.map_err(|e| format!("management at {place}: {e}"))?;
         let place = calls.local_addr().map_err(|e| format!("management at {place}: {e}"))?;
-        log(&format!("operators call at {place}"));
+        info!(at = %place, "operators' calls are taken");
         actix_rt::spawn(management::serve(host.clone(), link.clone(), calls, ready.clone()));
     }
     let mut watch = watch::Watch::start(host.clone(), discovery, host.look(Broker::revision));
@@ -272,9 +292,7 @@
     let put = move |new: Config| {
         let classes: Vec<&str> = new.settings.classes.iter().map(|c| c.name.as_str()).collect();
         let (discovery, classes, tries) = (new.discovery, classes.join(", "), new.settings.try_limit);
-        log(&format!(
-            "the configuration is read again: discovery is at {discovery}, classes {classes}, {tries} attempts at most"
-        ));
+        info!(%discovery, classes, attempts = tries, "the configuration is read again");
         watch.move_to(discovery);
         core.feed(Input::Settings(Box::new(new.settings)));
         in_force.replace(new.text);
@@ -285,7 +303,7 @@
         None => TcpListener::bind(listen).await,
     };
     let listener = listener.map_err(|e| format!("{listen}: {e}"))?;
-    log(&format!("{name} listens on {}", listener.local_addr().map_err(|e| format!("{listen}: {e}"))?));
+    info!(at = %listener.local_addr().map_err(|e| format!("{listen}: {e}"))?, name, "listens for HTTP");
     let boxes = boxes::Boxes::new(&settings, rest / 4);
     // Where memory is short there is room for fewer connections than descriptors.
     let room = match memory_mb {
--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -4,7 +4,6 @@
 //! it reads up to 128 KiB of a head, and as much again of requests sent ahead. Here each has its own bound.
 
 use crate::runtime::host::Host;
-use crate::runtime::log::log;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -14,6 +13,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tracing::warn;
 
 /// Connections are looked at so often.
 const LOOK: Duration = Duration::from_millis(20);
@@ -223,7 +223,11 @@
             let over = lines.iter().filter_map(Weak::upgrade).filter(|l| l.is_over(now, full));
             cut += over.map(|line| line.cut.notify_one()).count();
             if full && told.is_none_or(|at| now > at + Duration::from_secs(1)) {
-                log(&format!("{open} connections are open, the most there may be: {cut} silent or idle ones are closed"));
+                warn!(
+                    open,
+                    closed = cut,
+                    "no place is left for connections: silent and idle ones are closed"
+                );
                 told = Some(now);
             }
         }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -6,7 +6,6 @@
 use crate::interface::VolumeId;
 use crate::runtime::gate::{Closing, Gate};
 use crate::runtime::host::{Host, Passing};
-use crate::runtime::log::log;
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
 use actix_http::header::HeaderMap;
 use actix_http::{
@@ -21,6 +20,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use tracing::error;
 
 /// After the last byte of a closing answer a client has so long to take it.
 const LINGER: Duration = Duration::from_millis(500);
@@ -68,7 +68,7 @@
         .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || closing.clone().told())
         .h1(handler);
-    let Ok(http) = http.new_service(()).await else { return log("the front could not be set up") };
+    let Ok(http) = http.new_service(()).await else { return error!("the front could not be set up") };
     let crowd = Crowd::default();
     let keeper = actix_rt::spawn(crowd.clone().keep(core, most));
     // How a client's connection ends is the client's affair; its request knows by being dropped.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -4,7 +4,6 @@
 
 use crate::broker::{Input, Legacy, Order};
 use crate::runtime::host::Host;
-use crate::runtime::log::log;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -14,6 +13,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
+use tracing::{info, warn};
 
 /// A silent predecessor does not keep a new version from serving.
 const ASKED: Duration = Duration::from_millis(300);
@@ -75,13 +75,13 @@
         let mut line = Vec::new();
         (&mut stream).take(LINE_MOST).read_until(b'\n', &mut line).await.ok()?;
         let will = simd_json::serde::from_slice(&mut line);
-        let will = will.inspect_err(|fault| log(&format!("the predecessor's will can't be read: {fault}")));
+        let will = will.inspect_err(|fault| warn!(why = %fault, "the predecessor's will can't be read"));
         Some((will.ok()?, stream))
     };
     match tokio::time::timeout(ASKED, asked).await {
         Ok(will) => will,
         Err(_) => {
-            log("the predecessor says nothing; this process goes on without its will");
+            warn!("the predecessor says nothing; this process goes on without its will");
             None
         }
     }
@@ -145,7 +145,7 @@
             self.0.host.feed(Input::Part(1.0));
             return None;
         }
-        log("a successor has started: it and this process share every budget");
+        info!("a successor has started: it and this process share every budget");
         Some(stream)
     }
 
@@ -191,7 +191,7 @@
                 }
             }
             Ok(Message::Part(part)) => self.0.host.feed(Input::Part(part)),
-            Err(fault) => log(&format!("the other process sent what can't be read: {fault}")),
+            Err(fault) => warn!(why = %fault, "the other process sent what can't be read"),
         }
     }
 
@@ -199,7 +199,7 @@
         self.0.peer.take();
         self.0.waiting.borrow_mut().clear();
         self.0.host.feed(Input::Part(1.0));
-        log("the other process is gone: this one has every budget alone");
+        info!("the other process is gone: this one has every budget alone");
     }
 
     fn send(&self, message: Message) -> bool {
@@ -235,7 +235,7 @@
         match bound {
             Ok(listener) => Some(listener),
             Err(why) => {
-                log(&format!("successors can't be given anything: {}: {why}", self.path.display()));
+                warn!(socket = %self.path.display(), %why, "successors can't be given anything");
                 None
             }
         }
--- a/src/net/management.rs
+++ b/src/net/management.rs
@@ -3,7 +3,6 @@
 use super::handover::Link;
 use crate::broker::Order;
 use crate::runtime::host::Host;
-use crate::runtime::log::log;
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use actix_service::{fn_service, Service, ServiceFactory};
@@ -14,6 +13,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
+use tracing::{error, warn};
 
 /// Calls at a time. With all places taken the oldest gives way: a whole call is answered at once, so that one
 /// can only be waiting for the rest of its own.
@@ -88,7 +88,7 @@
         .client_disconnect_timeout(LINGER)
         .h1(handler);
     let Ok(http) = http.new_service(()).await else {
-        return log("the management address could not be set up");
+        return error!("the management address could not be set up");
     };
     let mut open: VecDeque<AbortHandle> = VecDeque::new();
     loop {
@@ -109,7 +109,7 @@
                 );
             }
             Err(error) => {
-                log(&format!("a management call could not be accepted: {error}"));
+                warn!(why = %error, "a management call could not be accepted");
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
         }
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -4,13 +4,13 @@
 use crate::members;
 use crate::runtime::host::Host;
 use crate::runtime::lines::Lines;
-use crate::runtime::log::log;
 use awc::{Client, Connector};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::AbortHandle;
+use tracing::{info, warn};
 
 /// Discovery sends at least an empty line every 2 s; several missed are a broken watch. What it has to tell
 /// counts as told 6 s after, so a new watch has to be up by then.
@@ -48,7 +48,7 @@
     /// line the old one goes on beside it, so that a wrong or slow address costs no news.
     pub fn move_to(&mut self, agent: SocketAddr) {
         if agent != self.agent {
-            log(&format!("discovery moves from {} to {agent}", self.agent));
+            info!(from = %self.agent, to = %agent, "discovery moves");
             self.agent = agent;
             self.follow();
         }
@@ -70,7 +70,7 @@
         let why = watch_once(&host, &client, agent, &revision, &mut replaced).await;
         let at = revision.get();
         wait = if at > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
-        log(&format!("watch of {agent} ended at revision {at} ({why}); again in {} ms", wait.as_millis()));
+        warn!(%agent, revision = at, %why, again_in_ms = wait.as_millis() as u64, "the watch of the list ended");
         tokio::time::sleep(wait).await;
     }
 }
--- a/src/runtime/gate.rs
+++ b/src/runtime/gate.rs
@@ -1,7 +1,6 @@
 //! The way in and out that all fronts share: accepting, and ending as the platform asks.
 
 use super::host::Host;
-use super::log::log;
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
@@ -9,6 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tracing::{info, warn};
 
 /// How long a stopping program still accepts: clients keep coming until they know.
 const STILL_ACCEPTS: Duration = Duration::from_millis(450);
@@ -107,17 +107,17 @@
                 accepted = accepted => match accepted {
                     Ok((stream, _)) => start(stream),
                     Err(error) => {
-                        log(&format!("a connection could not be accepted: {error}"));
+                        warn!(why = %error, "a connection could not be accepted");
                         tokio::time::sleep(Duration::from_millis(10)).await;
                     }
                 },
                 () = &mut stop, if stopped_at.is_none() => {
                     if succeeded() {
-                        log(&format!("a successor takes over: {} connections, {} requests open", count.open.get(), host.open()));
+                        info!(connections = count.open.get(), requests = host.open(), "a successor takes over");
                         host.succeed();
                         break;
                     }
-                    log(&format!("stopping: {} connections, {} requests open", count.open.get(), host.open()));
+                    info!(connections = count.open.get(), requests = host.open(), "stopping");
                     host.stop();
                     stopped_at = Some(Instant::now());
                 }
@@ -149,7 +149,10 @@
             let _ = tokio::time::timeout(LAST_BODIES, passed).await;
             whole = tokio::time::timeout(LAST_ANSWERS, done()).await.is_ok();
         }
-        log(&format!("stopped: {}", if whole { "all that was taken is answered" } else { "time ran out" }));
+        match whole {
+            true => info!("stopped: all that was taken is answered"),
+            false => warn!(connections = count.open.get(), "stopped: time ran out"),
+        }
     }
 }
 
--- a/src/runtime/host.rs
+++ b/src/runtime/host.rs
@@ -2,7 +2,7 @@
 
 use crate::broker::{Answer, Ask, Broker, Effect, Input, News, Order, Reply};
 use crate::interface::{RequestId, Settings};
-use crate::runtime::log::log;
+use crate::runtime::log;
 use futures_util::future::LocalBoxFuture;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -87,7 +87,7 @@
                         self.0.rearm.notify_one();
                     }
                 }
-                Effect::Log(line) => log(&line),
+                Effect::Log(notice) => log::write(&notice),
             }
         }
     }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -63,6 +63,8 @@
         vec!["--config".into(), file("seed.json", &config("127.0.0.1:0", "zzz"))],
         vec!["--config".into(), file("listen.json", &config("nowhere", "1"))],
         vec!["fly".into()],
+        vec!["--log-form".into(), "xml".into()],
+        vec!["--log-level".into(), "loud".into()],
         vec![],
         vec![
             "check-config".into(),
@@ -96,13 +98,19 @@
     }
 }
 
+/// A field of a line of the log, in its text form.
+fn field(line: &str, name: &str) -> String {
+    let (_, rest) = line.split_once(&format!(" {name}=")).expect(line);
+    rest.split(' ').next().unwrap_or_default().trim_matches('"').to_owned()
+}
+
 impl Running {
     /// Starts the program, and waits until it listens.
     fn start(command: &mut Command) -> (Self, impl Iterator<Item = String>, String) {
         let mut child = Running(command.spawn().unwrap());
         let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
-        let line = lines.find(|l| l.contains("listens on ")).expect("it says where");
-        let address = line.rsplit(' ').next().unwrap().to_owned();
+        let line = lines.find(|l| l.contains(" listens for ")).expect("it says where");
+        let address = field(&line, "at");
         (child, lines, address)
     }
 
@@ -145,7 +153,7 @@
         file("moves.json", &bad);
         child.signal("-HUP");
         let told = lines.find(|l| l.contains("configuration")).unwrap();
-        assert!(told.starts_with("the new configuration is not used: "), "{told}");
+        assert!(told.contains(" WARN the new configuration is not used why="), "{told}");
     }
     file("moves.json", &text(&places[1]));
     child.signal("-HUP");
@@ -167,7 +175,7 @@
     assert_eq!(&status, b"HTTP/1.1 200");
     child.signal("-TERM");
     assert!(child.0.wait().unwrap().success());
-    assert!(lines.any(|l| l == "stopped: all that was taken is answered"));
+    assert!(lines.any(|l| l.ends_with(" INFO stopped: all that was taken is answered")));
 }
 
 /// Starts a version of the program on a clients' socket that the test holds, as the platform does.
@@ -190,10 +198,10 @@
     let mut child = Running(command.spawn().unwrap());
     let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
     let mut told = Vec::new();
-    while !told.last().is_some_and(|l: &String| l.starts_with("operators call at ")) {
+    while !told.last().is_some_and(|l: &String| l.contains(" operators' calls are taken ")) {
         told.push(lines.next().expect("it says where"));
     }
-    let place = told.pop().unwrap().rsplit(' ').next().unwrap().to_owned();
+    let place = field(&told.pop().unwrap(), "at");
     (child, told.into_iter().chain(lines), place)
 }
 
@@ -238,27 +246,27 @@
     let (dies, _, early) = version(&held, &folder, &good);
     ready(&early);
     drop(dies);
-    assert!(old_lines.any(|l| l.starts_with("the other process is gone")));
+    assert!(old_lines.any(|l| l.contains(" the other process is gone")));
     // What the old one turned down at SIGHUP must not stop the new one.
     let cut = file("over-cut.json", "{\"name\":");
     let (_new, mut lines, new_place) = version(&held, &folder, &cut);
     ready(&new_place);
-    let inherited = lines.by_ref().take(60).find(|l| l.starts_with("inherited: ")).unwrap();
-    assert!(inherited.contains("1 boxes of revision 41, 1 suspended, drained: false"), "{inherited}");
+    let inherited = lines.by_ref().take(60).find(|l| l.contains(" inherited ")).unwrap();
+    assert!(inherited.ends_with("boxes=1 revision=41 suspended=1 drained=false"), "{inherited}");
     // A call to either binds both.
     assert_eq!(call(&new_place, "POST /v1/initiator/drain"), 200);
     assert_eq!(health(&mut kept), (503, false));
     assert_eq!(call(&old_place, "POST /v1/initiator/activate"), 200);
     assert_eq!(call(&old_place, "POST /v1/targets/s-0badf00d/resume"), 404);
     assert_eq!(call(&old_place, "POST /v1/targets/s-5be2a07c/resume"), 200);
-    assert!(lines.any(|l| l == "s-5be2a07c is resumed, cold, by hand"));
+    assert!(lines.any(|l| l.ends_with("resumed by hand, cold id=\"s-5be2a07c\"")));
     let mut kept: Vec<_> = (0..8).map(|_| TcpStream::connect(place).unwrap()).collect();
     kept.iter_mut().for_each(|client| assert_eq!(health(client), (200, true)));
     old.signal("-TERM");
-    assert!(old_lines.any(|l| l.starts_with("a successor takes over: ")));
+    assert!(old_lines.any(|l| l.contains(" a successor takes over ")));
     // Nothing that waits or comes is refused, and what the old one holds ends with an answer or at rest.
     assert_eq!(health(&mut TcpStream::connect(place).unwrap()), (200, true));
     assert!(old.0.wait().unwrap().success());
-    assert!(lines.any(|l| l.starts_with("the other process is gone")));
+    assert!(lines.any(|l| l.contains(" the other process is gone")));
     assert_eq!(health(&mut TcpStream::connect(place).unwrap()), (200, true));
 }
