Check the operator's file whole against typed records, and print their schema

Cause: the file was read by a walk that took what was missing as nothing, ignored unknown keys (a misspelt limit was no limit) and told one fault at a time; two boxes of one name passed.

All faults come at once, each with its path. shaletack schema prints the schema. The platform's settings are read as before, unknown keys ignored; a test holds that both readers mean the same.

--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
+use std::io::Write;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Instant, SystemTime};
@@ -31,6 +32,7 @@
        shaletack serve --operator FILE      serve NBD as the operator's file says
        shaletack check-config [FILE]        read a configuration and say what is wrong with it
        shaletack check-config --operator FILE
+       shaletack schema                     print the JSON Schema of the operator's file
        shaletack version                    print the version
        --log-form text|json                 the form of the log on standard error (text)
        --log-level error|warn|info|debug    the least level that is written (info)
@@ -56,6 +58,7 @@
 enum Command {
     Serve(Source),
     CheckConfig(Source),
+    Schema,
     Version,
     Help,
 }
@@ -72,8 +75,8 @@
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("shaletack: {fault}");
+        Err(faults) => {
+            faults.lines().for_each(|fault| eprintln!("shaletack: {fault}"));
             ExitCode::FAILURE
         }
     }
@@ -98,6 +101,13 @@
                 o.boxes.entries.len()
             );
         }),
+        Command::Schema => {
+            // Whoever reads it may stop early.
+            match writeln!(std::io::stdout(), "{:#}", operator::schema()) {
+                Err(why) if why.kind() != std::io::ErrorKind::BrokenPipe => Err(why.to_string()),
+                _ => Ok(()),
+            }
+        }
         Command::Version => {
             println!("shaletack {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -130,6 +140,7 @@
     let command = match name.as_deref() {
         None | Some("serve") => Command::Serve(source),
         Some("check-config") => Command::CheckConfig(source),
+        Some("schema") => Command::Schema,
         Some("version") => Command::Version,
         Some("help") => Command::Help,
         Some(other) => return Err(format!("'{other}' is not a sub-command").into()),
@@ -152,7 +163,8 @@
 
 fn load_operator(file: &str) -> Result<Operator, String> {
     let mut text = std::fs::read(file).map_err(|e| format!("{file}: {e}"))?;
-    operator::read(&mut text).map_err(|fault| format!("{file}: {fault}"))
+    let each = |faults: operator::Faults| faults.0.iter().map(|f| format!("{file}: {f}")).collect::<Vec<_>>();
+    operator::read(&mut text).map_err(|faults| each(faults).join("\n"))
 }
 
 fn start(settings: Settings, seed: u64) -> Host {
@@ -174,7 +186,7 @@
     while hangup.recv().await.is_some() {
         match read() {
             Ok(new) => put(new),
-            Err(fault) => warn!(why = %fault, "the new configuration is not used"),
+            Err(faults) => warn!(why = faults.replace('\n', "; "), "the new configuration is not used"),
         }
     }
 }
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -165,7 +165,10 @@
     let members: Vec<String> = boxes
         .iter()
         .map(|(a, cell)| {
-            format!(r#"{{"id":"s-{:08x}","host_port":"{a}","cell":{cell},"phase":"up"}}"#, a.port())
+            format!(
+                r#"{{"id":"s-{:08x}","host_port":"{a}","cell":{cell},"phase":"up"}}"#,
+                u32::from(a.port()) | u32::from(*cell) << 16
+            )
         })
         .collect();
     let text = format!(
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,97 @@
+//! The operator's file: every fault at once, each with its path, and the two readers of settings agree.
+
+use shaletack::{json::Look, operator, settings};
+
+const EXAMPLE: &str = include_str!("../deploy/operator.json");
+
+fn read(text: &str) -> Result<operator::Operator, operator::Faults> {
+    operator::read(&mut text.to_owned().into_bytes())
+}
+
+/// The example with one text in place of another that it holds.
+fn with(changes: &[(&str, &str)]) -> String {
+    changes.iter().fold(EXAMPLE.to_owned(), |text, (from, to)| {
+        assert!(text.contains(from), "{from}");
+        text.replacen(from, to, 1)
+    })
+}
+
+#[test]
+fn every_fault_of_a_file_is_told_at_once_with_its_path() {
+    let shape = with(&[
+        ("\"unit_bytes\": 16384", "\"unit_bytes\": 7, \"unit_bits\": 1"),
+        ("\"limit\": 200", "\"limit\": -1"),
+        ("\"shard\": 0", "\"shard\": \"0\""),
+        ("\"phase\": \"up\"", "\"phase\": \"asleep\""),
+        ("\"try-limit\": 4", "\"try-limits\": 4"),
+    ]);
+    let faults = read(&shape).unwrap_err().0;
+    let expected = [
+        ("", "unit_bits"),
+        ("/unit_bytes: ", "512"),
+        ("/teams/0/contracts/1/limit: ", "minimum of 0"),
+        ("/exports/0/extents/0/shard: ", "integer"),
+        ("/boxes/0/phase: ", "asleep"),
+        ("/settings/limits: ", "try-limits"),
+    ];
+    for (path, word) in expected {
+        let told = |f: &&String| f.starts_with(path) && f.contains(word);
+        assert!(faults.iter().find(told).is_some(), "{path} {word}: {faults:#?}");
+    }
+    assert_eq!(faults.len(), expected.len(), "{faults:#?}");
+}
+
+#[test]
+fn parts_that_do_not_fit_together_are_all_told() {
+    let misfit = with(&[
+        ("127.0.0.1:10809", "10.0.0.1:10809"),
+        ("\"reserve\": 0, \"limit\": 200, \"weight\": 1, \"burst\": 400", "\"reserve\": 300, \"limit\": 200"),
+        ("\"name\": \"relatorios\"", "\"name\": \"leituras\""),
+        ("\"size\": 134217728", "\"size\": 134217729"),
+        ("\"cell\": 1", "\"cell\": 9"),
+        ("\"name\": \"exportacao\"", "\"name\": \"exportation\""),
+        ("s-00000002", "s-00000001"),
+    ]);
+    let faults = read(&misfit).unwrap_err().0;
+    let paths: Vec<&str> = faults.iter().map(|f| f.split_once(": ").unwrap().0).collect();
+    let expected = [
+        "/listen",
+        "/settings/lanes",
+        "/teams/0/contracts/1/burst",
+        "/teams/0/contracts/1/reserve",
+        "/teams/1/name",
+        "/boxes/1/id",
+        "/exports/0/extents/1/shard",
+        "/exports/0/size",
+        "/exports/1/extents/0/shard",
+        "/exports/1/team",
+    ];
+    assert_eq!(paths, expected, "{faults:#?}");
+    assert!(read("{").unwrap_err().0[0].starts_with("not JSON: "));
+}
+
+/// One settings object, read by the platform's reader and by the record, means the same.
+#[test]
+fn the_settings_mean_the_same_to_both_readers() {
+    let mut text = EXAMPLE.to_owned().into_bytes();
+    let value = shaletack::json::parse(&mut text).unwrap();
+    let mut platform = settings::from(Look::object(&value, "file").unwrap().at("settings")).unwrap();
+    let operator = read(EXAMPLE).unwrap();
+    platform.plans = operator.settings.plans.clone();
+    assert_eq!(platform, operator.settings);
+    assert_eq!((operator.exports[0].extents[1].from, operator.exports[1].plan), (67108864, 2));
+}
+
+#[test]
+fn the_schema_refuses_unknown_keys_in_every_record() {
+    fn records(value: &serde_json::Value, closed: &mut usize) {
+        if value.get("properties").is_some() {
+            assert_eq!(value["additionalProperties"], serde_json::json!(false), "{value:#}");
+            *closed += 1;
+        }
+        value.as_object().into_iter().flatten().for_each(|(_, v)| records(v, closed));
+    }
+    let mut closed = 0;
+    records(&operator::schema(), &mut closed);
+    assert!(closed >= 10, "{closed}");
+}
