Let peers' words reach the reducer, where they stop, hold, cool and count off

Need: what a peer knows of boxes is to bear on what a returning initiator sends, through inputs of the one reducer, and never to widen anything.

Change: Input::Told and Input::Current; core::hearsay reviews all words at each and hands changed lines to the scheduler; choice/hearsay.rs caps a cold box's room by what others spent, holds failing boxes back and sets a new volume's first slice. Broker::tell_peers says what this process saw. Without among_peers nothing of it exists.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -3,12 +3,14 @@
 
 use crate::choice::Scheduler;
 use crate::ending::End;
+use crate::hearsay::{Listed, Peers};
 use crate::interface::*;
 use crate::members::{Member, Members};
 use crate::notice::Notice;
 use crate::state::Learnt;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use shaletack_knowledge::{Observer, Told};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -124,6 +126,10 @@
     Inherit(Box<Legacy>, f64),
     /// This process has so much of every budget; another one has the rest.
     Part(f64),
+    /// The list that is followed says that nothing has changed.
+    Current,
+    /// What a peer told, and the round trip of that exchange.
+    Told(Observer, Duration, Vec<Told>),
     /// A wait is over.
     Woke,
 }
@@ -260,6 +266,7 @@
     tallies: Vec<(String, Tally)>,
     told_at: Duration,
     ends: BTreeMap<String, u64>,
+    peers: Option<Peers>,
 }
 
 impl Broker {
@@ -282,9 +289,22 @@
             revision: 0,
             told_at: at,
             ends: BTreeMap::new(),
+            peers: None,
         }
     }
 
+    /// The same, where initiators talk to each other; `me` is what this process is to them.
+    pub fn among_peers(mut self, me: Observer) -> Self {
+        self.peers = Some(Peers::new(me));
+        self
+    }
+
+    /// What a peer is told, most needed first; nothing where peers are off.
+    pub fn tell_peers(&self, now: Instant) -> Vec<Told> {
+        let at = self.clock.time(now);
+        self.peers.as_ref().map_or(Vec::new(), |peers| peers.tell(at, &self.boxes(), &self.scheduler))
+    }
+
     /// Whether it knows of a disk box to send to.
     pub fn is_ready(&self) -> bool {
         !self.addresses.is_empty()
@@ -309,6 +329,7 @@
     pub fn step(&mut self, now: Instant, input: Input) -> Vec<Effect> {
         let at = self.clock.time(now);
         let (mut effects, mut events) = (Vec::new(), Vec::new());
+        let mut review = matches!(input, Input::Order(_) | Input::Inherit(..));
         match input {
             Input::Arrived(id, ask) => events.extend(self.arrived(at, id, ask)),
             Input::Ended(id, number, reply) => events.extend(self.ended(at, id, number, reply, &mut effects)),
@@ -319,7 +340,23 @@
                     events.push(Event::Left(id));
                 }
             }
-            Input::List(members) => events.push(self.listed(members, &mut effects)),
+            Input::List(members) => {
+                let dated = members.kind != ListKind::Cached;
+                events.push(self.listed(members, &mut effects));
+                self.peers.iter_mut().filter(|_| dated).for_each(|peers| peers.listed(at));
+                review = true;
+            }
+            Input::Current => {
+                self.peers.iter_mut().for_each(|peers| peers.listed(at));
+                review = true;
+            }
+            Input::Told(from, trip, told) => {
+                let heard = self.peers.as_mut().map(|peers| peers.hear(at, trip, &from, told));
+                if let Some(unsound) = heard.map(|refused| refused.unsound).filter(|n| *n > 0) {
+                    effects.push(Effect::Log(Notice::Refused { from: from.name, unsound }));
+                }
+                review = true;
+            }
             Input::Settings(set) => events.push(self.retune(at, *set)),
             Input::Part(part) => events.push(Event::Part(part)),
             Input::Inherit(legacy, part) => events.extend(self.inherit(at, *legacy, part, &mut effects)),
@@ -343,8 +380,13 @@
             self.wake = None;
             events.push(Event::Timer);
         }
+        let due = self.peers.as_ref().and_then(Peers::changes_at).is_some_and(|then| then <= at);
+        if self.peers.is_some() && (review || due) {
+            events.extend(self.review(at, &mut effects));
+        }
         let mut actions = Vec::new();
         while !events.is_empty() {
+            self.peers.iter_mut().for_each(|peers| peers.watch(at, &events));
             self.scheduler.step(at, &events, &mut actions);
             events.clear();
             for action in actions.drain(..) {
@@ -353,11 +395,40 @@
         }
         self.tell(at, &mut effects);
         let until = self.flights.values().map(|f| f.until).filter(|until| *until < Duration::MAX);
-        let first = until.chain(self.wake).min();
+        let review = self.peers.as_ref().and_then(Peers::changes_at);
+        let first = until.chain(self.wake).chain(review).min();
         effects.extend(first.map(|first| Effect::Wake(self.clock.instant(first))));
         effects
     }
 
+    /// The boxes that the list ever named, as far as they are remembered.
+    fn boxes(&self) -> BTreeMap<&str, Listed<'_>> {
+        let mut boxes = BTreeMap::new();
+        for (id, h) in &self.heard {
+            let (node, born) = (node_number(id), h.born());
+            boxes.insert(id.as_str(), Listed { node, member: &h.member, suspended: h.suspended, born });
+        }
+        boxes
+    }
+
+    /// Weighs what peers said, and what of it the scheduler has to know.
+    fn review(&mut self, at: Duration, effects: &mut Vec<Effect>) -> Vec<Event> {
+        let Some(mut peers) = self.peers.take() else { return Vec::new() };
+        let changes = peers.review(at, &self.boxes());
+        let hearsay = peers.hearsay(at, self.settings.rules.tip_after, &self.boxes());
+        self.peers = Some(peers);
+        for change in changes.iter().filter(|c| c.news) {
+            effects.push(Effect::Log(Notice::Advised {
+                id: change.id.clone(),
+                stopped: change.advice.stop_until.is_some(),
+                held: change.advice.hold_until.is_some(),
+                started_ago: change.advice.born.map(|born| at.saturating_sub(born)),
+            }));
+        }
+        let lines = changes.iter().filter_map(|change| self.line(&change.id)).collect();
+        vec![Event::List { kind: ListKind::Changes, lines }, Event::Hearsay(hearsay)]
+    }
+
     fn arrived(&mut self, at: Duration, id: RequestId, ask: Ask) -> Option<Event> {
         if self.open.contains_key(&id) {
             return None;
@@ -558,17 +629,20 @@
         Some(Event::List { kind: ListKind::Changes, lines: vec![line] })
     }
 
-    /// A box in the scheduler's terms: one that is taken out drains, whatever the list says.
+    /// A box in the scheduler's terms: one that is taken out drains, whatever the list says, and so does one
+    /// that peers say takes no work. Nothing that they say brings one back.
     fn line(&self, id: &str) -> Option<NodeLine> {
         let heard = self.heard.get(id)?;
         let member = &heard.member;
-        let out = heard.suspended && member.readiness == Readiness::Ready;
+        let advice = self.peers.as_ref().map(|peers| peers.advice(id)).unwrap_or_default();
+        let stopped = heard.suspended || advice.stop_until.is_some();
+        let out = stopped && member.readiness == Readiness::Ready;
         Some(NodeLine {
             node: node_number(id),
             zone: self.settings.zones.iter().position(|z| *z == member.zone).unwrap_or(0) as u16,
             shard: member.shard,
             readiness: if out { Readiness::Draining } else { member.readiness },
-            born: heard.born(),
+            born: heard.born().max(advice.born.unwrap_or_default()),
         })
     }
 
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+mod hearsay;
 mod inherit;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -64,22 +65,15 @@
     next: Duration,
     acts: Vec<Action>,
     part: f64, // Of every budget, where another process of this host has the rest.
+    said: hearsay::Said,
 }
 
 impl Scheduler {
     /// A host that has just started and knows nothing of an earlier life.
     pub fn new(set: Settings, seed: u64, now: Duration) -> Self {
         let stride = stride(u64::from(set.hosts.max(1)));
-        let mut host = Scheduler {
-            set,
-            seed,
-            now,
-            started: now,
-            lifted_at: now,
-            stride,
-            part: 1.0,
-            ..Scheduler::default()
-        };
+        let mut host = Scheduler { set, seed, now, stride, part: 1.0, ..Scheduler::default() };
+        (host.started, host.lifted_at) = (now, now);
         // All hosts may start at once: the list's service is not asked by all in the same instant.
         let span = (host.set.hosts * SECOND / 50).min(host.set.rules.ask_within / 4);
         host.ask_at = host.set.list_on_request.then_some(now + host.random_span(span));
@@ -128,7 +122,7 @@
                 }
             }
             Event::Told { from, bytes } => self.on_told(*from, bytes),
-            Event::Probed { .. } => {}
+            other => self.hear(other),
         }
     }
 
@@ -202,7 +196,7 @@
         if self.set.rules.budget().is_some() {
             self.taken.add(self.now, 1.0);
         }
-        self.meet_volume(&req);
+        self.meet(&req);
         if let Some(shard) = req.shard {
             self.asked.insert(shard, self.now);
         }
@@ -698,7 +692,7 @@
 
     /// The held request with the least (level, tag) that this node may be sent now.
     fn pick(&mut self, id: NodeId, run: bool) -> Option<RequestId> {
-        let room = self.room(id);
+        let room = self.room_left(id);
         let node = self.nodes.get(&id)?;
         let idle = node.held() == 0.0;
         // New objects can go elsewhere than to a cold node.
@@ -885,8 +879,7 @@
         if follows || age >= rules.warm_up || rules.start_capacity <= 0.0 || bears <= 0.0 {
             return f64::INFINITY;
         }
-        let start = rules.start_capacity.min(1.0);
-        let grown = (start + (1.0 - start) * nanos(age) / nanos(rules.warm_up)) / start;
+        let grown = self.grown(age);
         if self.in_turns() {
             self.turn_room(id, bears * (1.0 - 1.0 / rules.overload.max(1.5)), grown)
         } else {
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -353,6 +353,17 @@
     pub load: Load,
 }
 
+/// What other hosts say, as far as it bears on what is sent; it replaces what they said before.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Hearsay {
+    /// Nodes that fail elsewhere are held back until then.
+    pub holds: Vec<(NodeId, Duration)>,
+    /// Units that others sent a cold node within the window that the rules name.
+    pub spent: Vec<(NodeId, f64)>,
+    /// Units a second that others are asked for, for a volume, and when that was seen.
+    pub demand: Vec<(VolumeId, f64, Duration)>,
+}
+
 /// What happened, in order of arrival.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -386,6 +397,8 @@
     Left(RequestId),
     /// A timer is due.
     Timer,
+    /// What other hosts say.
+    Hearsay(Hearsay),
     /// A probe came back.
     Probed {
         /// Which node.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod broker;
 pub mod choice;
 pub mod ending;
+pub mod hearsay;
 pub mod interface;
 pub mod json;
 mod measure;
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -3,6 +3,7 @@
 use crate::broker::Tally;
 use crate::interface::ListKind;
 use crate::members::Member;
+use std::time::Duration;
 
 /// One thing to be told.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,6 +45,24 @@
         /// Requests without a final answer.
         open: usize,
     },
+    /// What peers say of a box has come to mean something else.
+    Advised {
+        /// The box.
+        id: String,
+        /// It gets nothing new, by their word.
+        stopped: bool,
+        /// It is held back for a moment.
+        held: bool,
+        /// How long ago it started, by their word.
+        started_ago: Option<Duration>,
+    },
+    /// Some of what a peer told was not taken.
+    Refused {
+        /// Who told it.
+        from: String,
+        /// Facts out of range, or first-hand in another's name.
+        unsound: usize,
+    },
     /// A line of the scheduler's.
     Decided(String),
 }
--- a/src/runtime/log.rs
+++ b/src/runtime/log.rs
@@ -118,6 +118,11 @@
             let ends: Vec<String> = ends.iter().map(|(end, count)| format!("{end} {count}")).collect();
             info!(open, attempts = ends.join(", "), "so far");
         }
+        Notice::Advised { id, stopped, held, started_ago } => {
+            let started_ago_ms = started_ago.map(|ago| ago.as_millis() as u64);
+            info!(id, stopped, held, started_ago_ms, "peers say of a box");
+        }
+        Notice::Refused { from, unsound } => warn!(from, unsound, "a peer told what can't be taken"),
         Notice::Decided(line) => debug!("{line}"),
     }
 }
