Frame what peers exchange, and know who is alive by SWIM, without sockets

Need: initiators are to find each other through any one listed peer, and to exchange facts in a form that survives noise, other versions and cuts.

Change: crates/peers: frames (magic, version, length, CRC-32, postcard; 64 KiB at most, the least needed left out) and membership round foca as a reducer over virtual time.

Measured: 10 tests: 512 drawn noises and single-byte changes of a frame are all refused; four members join through one each, a silence of 1.5 s kills nobody, a death is known between 3 and 10 s, a planned stop within 2 s, a restart takes its address's place within 2 s, a partition heals within 25 s, twins are told of.

--- /dev/null
+++ b/crates/peers/tests/frame.rs
@@ -0,0 +1,74 @@
+//! Frames: what is whole comes back as it went, everything else has its reason.
+
+use proptest::prelude::*;
+use shaletack_knowledge::{Observer, Told, What};
+use shaletack_peers::frame::*;
+use std::time::Duration;
+
+fn me() -> Observer {
+    Observer { name: "a".into(), life: 9 }
+}
+
+fn facts(count: usize) -> Vec<Told> {
+    let fact = |i: usize| Told {
+        what: What::Failing(format!("s-{i:08x}"), i.is_multiple_of(2)),
+        by: me(),
+        start: 1_700_000_000_000 + i as u64,
+        hops: 0,
+        age: Duration::from_millis(i as u64),
+    };
+    (0..count).map(fact).collect()
+}
+
+fn frame(count: usize) -> Vec<u8> {
+    encode(&me(), Duration::from_millis(3), facts(count))
+}
+
+#[test]
+fn a_frame_comes_back_as_it_went_and_leaves_out_the_last_where_not_all_fits() {
+    let message = decode(&frame(100)).unwrap();
+    assert_eq!((message.from, message.trip, message.facts), (me(), Duration::from_millis(3), facts(100)));
+    let large = frame(50_000);
+    assert!(large.len() <= HEAD + MESSAGE_MOST && large.len() > MESSAGE_MOST - 512, "{}", large.len());
+    let kept = decode(&large).unwrap().facts;
+    assert!(kept.len() > 1000 && kept[..] == facts(50_000)[..kept.len()]);
+}
+
+#[test]
+fn what_is_no_whole_frame_of_this_version_is_refused_with_its_reason() {
+    let good = frame(3);
+    let with = |at: usize, bytes: &[u8]| {
+        let mut frame = good.clone();
+        frame[at..at + bytes.len()].copy_from_slice(bytes);
+        decode(&frame).unwrap_err()
+    };
+    assert_eq!(with(0, b"HTTP"), Bad::Noise);
+    assert_eq!(with(4, &[0, 2]), Bad::Version(2));
+    assert_eq!(with(6, &[0xff; 4]), Bad::Oversize(u32::MAX));
+    assert_eq!(with(10, &[0; 4]), Bad::Sum);
+    assert_eq!(with(good.len() - 1, &[0xee]), Bad::Sum);
+    assert_eq!(decode(&good[..HEAD - 1]).unwrap_err(), Bad::Cut);
+    assert_eq!(decode(&good[..good.len() - 1]).unwrap_err(), Bad::Cut);
+    assert_eq!(decode(&[&good[..], &[0]].concat()).unwrap_err(), Bad::Sum);
+    // A right sum over what is no message.
+    let mut empty = good[..HEAD].to_vec();
+    empty[6..14].fill(0);
+    assert_eq!(decode(&empty).unwrap_err(), Bad::Unreadable);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(512) })]
+
+    #[test]
+    fn no_bytes_are_taken_that_were_not_sent(
+        noise in prop::collection::vec(any::<u8>(), 0..300),
+        at in 0usize..200,
+        flip in 1u8..=255,
+    ) {
+        prop_assert!(decode(&noise).is_err());
+        let mut bent = frame(4);
+        let at = at % bent.len();
+        bent[at] ^= flip;
+        prop_assert!(decode(&bent).is_err(), "byte {} of a frame", at);
+    }
+}
--- /dev/null
+++ b/crates/peers/tests/membership.rs
@@ -0,0 +1,191 @@
+//! Members over a network in virtual time, which may lose, delay and part.
+
+use shaletack_peers::membership::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const MS: Duration = Duration::from_millis(1);
+const S: Duration = Duration::from_secs(1);
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn peer(name: &str, port: u16, epoch: u64) -> Peer {
+    Peer { name: name.into(), life: u64::from(port) + epoch, epoch, at: at(port) }
+}
+
+#[derive(Default)]
+struct Net {
+    now: Duration,
+    nodes: BTreeMap<u16, (Membership, Option<Duration>)>,
+    /// By when, to whom.
+    flying: BTreeMap<(Duration, usize), (u16, bytes::Bytes)>,
+    sent: usize,
+    /// Groups that hear only themselves.
+    parted: Vec<BTreeSet<u16>>,
+    news: Vec<(Duration, u16, Effect)>,
+}
+
+impl Net {
+    fn start(&mut self, me: Peer, seeds: &[u16]) {
+        let port = me.at.port();
+        let seeds = seeds.iter().map(|p| at(*p)).collect();
+        self.nodes.insert(port, (Membership::new(me, seeds, u64::from(port)), Some(self.now)));
+    }
+
+    fn step(&mut self, port: u16, input: Input) {
+        let Some((node, wake)) = self.nodes.get_mut(&port) else { return };
+        *wake = None;
+        for effect in node.step(self.now, input) {
+            match effect {
+                Effect::Send(to, bytes) => {
+                    assert!(bytes.len() <= DATAGRAM_MOST);
+                    self.sent += 1;
+                    let together =
+                        |group: &BTreeSet<u16>| group.contains(&port) && group.contains(&to.port());
+                    if self.parted.is_empty() || self.parted.iter().any(together) {
+                        self.flying.insert((self.now + 2 * MS, self.sent), (to.port(), bytes));
+                    }
+                }
+                Effect::Wake(at) => *wake = Some(at),
+                other => self.news.push((self.now, port, other)),
+            }
+        }
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += MS;
+            while let Some(entry) = self.flying.first_entry().filter(|e| e.key().0 <= self.now) {
+                let (port, bytes) = entry.remove();
+                self.step(port, Input::Datagram(bytes));
+            }
+            let due: Vec<u16> =
+                self.nodes.iter().filter(|n| n.1 .1.is_some_and(|w| w <= self.now)).map(|n| *n.0).collect();
+            due.into_iter().for_each(|port| self.step(port, Input::Woke));
+        }
+    }
+
+    fn sees(&self, port: u16) -> Vec<String> {
+        let mut names: Vec<String> = self.nodes[&port].0.peers().map(|p| p.name.clone()).collect();
+        names.sort();
+        names
+    }
+
+    fn four() -> Self {
+        let mut net = Net::default();
+        net.start(peer("a", 1, 1), &[2]);
+        net.start(peer("b", 2, 1), &[1]);
+        net.start(peer("c", 3, 1), &[2]);
+        net.start(peer("d", 4, 1), &[3]);
+        net.pass(5 * S);
+        net
+    }
+}
+
+#[test]
+fn all_are_joined_through_any_one_listed_peer_be_it_there_later() {
+    let net = Net::four();
+    assert_eq!(net.sees(1), ["b", "c", "d"]);
+    assert_eq!(net.sees(4), ["a", "b", "c"]);
+    let mut late = Net::default();
+    late.start(peer("a", 1, 1), &[2]);
+    late.pass(10 * S);
+    assert!(late.sees(1).is_empty());
+    late.start(peer("b", 2, 1), &[]);
+    late.pass(3 * S);
+    assert_eq!((late.sees(1), late.sees(2)), (vec!["b".to_owned()], vec!["a".to_owned()]));
+}
+
+#[test]
+fn a_dead_member_is_noticed_in_seconds_and_one_that_stumbles_is_not_taken_for_dead() {
+    let mut net = Net::four();
+    net.parted = vec![BTreeSet::from([1, 2, 3])];
+    net.pass(1500 * MS);
+    net.parted.clear();
+    net.pass(10 * S);
+    let downs = net.news.iter().filter(|n| matches!(n.2, Effect::Down(_))).count();
+    assert_eq!(downs, 0, "a silence of 1.5 s is suspicion at most");
+    let died = net.now;
+    net.nodes.remove(&4);
+    net.pass(12 * S);
+    assert_eq!(net.sees(1), ["b", "c"]);
+    let noticed = net.news.iter().find(|n| matches!(&n.2, Effect::Down(p) if p.name == "d")).unwrap().0;
+    assert!(noticed - died < 10 * S && noticed - died >= 3 * S, "after {:?}", noticed - died);
+}
+
+#[test]
+fn a_planned_stop_is_known_at_once() {
+    let mut net = Net::four();
+    let left = net.now;
+    net.step(4, Input::Leave);
+    net.nodes.remove(&4);
+    net.pass(2 * S);
+    assert_eq!(net.sees(1), ["b", "c"]);
+    let last =
+        net.news.iter().filter(|n| matches!(&n.2, Effect::Down(p) if p.name == "d")).map(|n| n.0).max();
+    assert!(last.unwrap() - left < 2 * S);
+}
+
+#[test]
+fn a_restart_at_the_same_address_takes_the_dead_ones_place_without_waiting() {
+    let mut net = Net::four();
+    net.start(peer("d", 4, 2), &[3]);
+    net.pass(2 * S);
+    assert_eq!(net.sees(4), ["a", "b", "c"]);
+    assert_eq!(net.sees(1), ["b", "c", "d"]);
+    let life = net.nodes[&1].0.peers().find(|p| p.name == "d").unwrap().epoch;
+    assert_eq!(life, 2);
+    // One whose clock was set back comes in as well, later.
+    net.start(peer("d", 4, 0), &[3]);
+    net.pass(30 * S);
+    assert_eq!((net.sees(4).len(), net.sees(1).len()), (3, 3));
+}
+
+#[test]
+fn a_partition_that_heals_joins_both_sides_again() {
+    let mut net = Net::four();
+    net.parted = vec![BTreeSet::from([1, 2]), BTreeSet::from([3, 4])];
+    net.pass(15 * S);
+    assert_eq!((net.sees(1), net.sees(4)), (vec!["b".to_owned()], vec!["c".to_owned()]));
+    net.parted.clear();
+    net.pass(25 * S);
+    assert_eq!((net.sees(1).len(), net.sees(2).len(), net.sees(3).len(), net.sees(4).len()), (3, 3, 3, 3));
+}
+
+#[test]
+fn two_processes_of_one_name_are_told_of() {
+    let mut net = Net::four();
+    net.start(peer("b", 5, 1), &[1]);
+    net.pass(3 * S);
+    let told: BTreeSet<u16> = net
+        .news
+        .iter()
+        .filter(|n| matches!(&n.2, Effect::Twins(x, y) if x.name == "b" && y.name == "b"))
+        .map(|n| n.1)
+        .collect();
+    assert!(told.contains(&2) && told.contains(&5) && told.contains(&1), "{told:?}");
+    assert_eq!(net.sees(1), ["b", "b", "c", "d"]);
+}
+
+#[test]
+fn noise_and_other_versions_are_refused_and_change_nothing() {
+    let mut net = Net::four();
+    net.news.clear();
+    for bytes in
+        [&b"GET / HTTP/1.1"[..], &[], &[0xd7], &[0xd7, 9, 1, 2], &[0xd7, 1], &[0xd7, 1, 255, 255, 255, 3]]
+    {
+        net.step(1, Input::Datagram(bytes::Bytes::copy_from_slice(bytes)));
+    }
+    let bad: Vec<String> = net
+        .news
+        .iter()
+        .filter_map(|n| if let Effect::Bad(why) = &n.2 { Some(why.to_string()) } else { None })
+        .collect();
+    assert_eq!(bad.len(), 6, "{bad:?}");
+    assert!(bad[3].starts_with("version 9"));
+    assert_eq!(net.sees(1).len(), 3);
+}
