Let initiators ask their peers at the start and stay in touch, by the operator's file

Faults within optional records of the file keep their paths.

Measured: version, oversize, cut, noise, bad sum, silence and a closed port cost one line each and together less than a second of a start.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -663,11 +663,10 @@
                 self.names.insert(member.id.clone(), node);
                 self.addresses.extend(member.address.map(|a| (node, a)));
             }
-            effects.push(Effect::Log(Notice::Listed {
-                revision: members.revision,
-                kind: members.kind,
-                member: member.clone(),
-            }));
+            if self.heard.get(&member.id).is_none_or(|heard| heard.member != *member) {
+                let (revision, kind, member) = (members.revision, members.kind, member.clone());
+                effects.push(Effect::Log(Notice::Listed { revision, kind, member }));
+            }
             let heard = self.heard.entry(member.id.clone());
             heard.and_modify(|h| h.member = member.clone()).or_insert_with(|| Heard {
                 member: member.clone(),
--- a/src/etcd.rs
+++ b/src/etcd.rs
@@ -8,14 +8,14 @@
 use crate::members::{self, Member, Members};
 use crate::operator::Etcd;
 use crate::runtime::host::Host;
-use crate::runtime::lines::Lines;
+use crate::runtime::lines::{Lines, SILENCE};
 use awc::{Client, Connector};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use std::time::Duration;
 use tracing::warn;
 
-/// etcd sends nothing while nothing changes; after so long a watch is asked for anew, in case it is dead.
+/// etcd sends nothing while nothing changes; after so long the list is read anew, in case the watch is dead.
 const SILENT: Duration = Duration::from_secs(30);
 const ANSWER: Duration = Duration::from_secs(3);
 const FIRST_WAIT: Duration = Duration::from_millis(100);
@@ -28,6 +28,8 @@
     Broken(String),
     /// The revisions that follow are gone: the whole list is needed.
     Compacted,
+    /// Nothing came for so long that only the whole list tells whether nothing changed.
+    Silent,
 }
 
 /// Follows the list; never ends.
@@ -51,6 +53,10 @@
                     revision = None;
                     "compacted".into()
                 }
+                Over::Silent => {
+                    revision = None;
+                    continue;
+                }
             },
         };
         wait = if revision > before { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
@@ -147,10 +153,11 @@
         let line = match lines.next(SILENT).await {
             Ok(line) if line.iter().all(u8::is_ascii_whitespace) => continue,
             Ok(line) => line,
+            Err(why) if why == SILENCE => return Over::Silent,
             Err(why) => return Over::Broken(format!("watch {why}")),
         };
         match news(line, etcd, revision) {
-            Ok(Some(members)) => host.feed(Input::List(members)),
+            Ok(Some(input)) => host.feed(input),
             Ok(None) => {}
             Err(over) => return over,
         }
@@ -158,7 +165,7 @@
 }
 
 /// What one message of a watch brings.
-fn news(mut line: Vec<u8>, etcd: &Etcd, revision: &mut u64) -> Result<Option<Members>, Over> {
+fn news(mut line: Vec<u8>, etcd: &Etcd, revision: &mut u64) -> Result<Option<Input>, Over> {
     let broken = Over::Broken;
     let value = json::parse(&mut line).map_err(broken)?;
     let top = Look::object(&value, "a watch's message").map_err(broken)?;
@@ -174,10 +181,10 @@
         return Err(Over::Broken(format!("watch cancelled: {why}")));
     }
     // What tells of its creation alone bears a revision whose events may still come.
+    let at = number(result.at("header").at("revision")).map_err(broken)?;
     if result.at("created").yes().map_err(broken)? {
-        return Ok(None);
+        return Ok((at == *revision).then_some(Input::Current));
     }
-    let at = number(result.at("header").at("revision")).map_err(broken)?;
     let events = result.at("events").list().map_err(broken)?;
     let change = |event: Look| match event.at("type").text() {
         Ok("DELETE") => removed(event.at("kv"), etcd),
@@ -186,5 +193,5 @@
     let entries: Vec<Member> = events.into_iter().filter_map(change).collect();
     *revision = at.max(*revision);
     let members = Members { revision: *revision, kind: ListKind::Changes, entries };
-    Ok(Some(members).filter(|m| !m.entries.is_empty()))
+    Ok(Some(if members.entries.is_empty() { Input::Current } else { Input::List(members) }))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod nbd;
 pub mod net;
 pub mod operator;
+pub mod peers;
 pub mod runtime;
 pub mod wire;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,8 +12,10 @@
 use shaletack::net::handover::{self, Link, Will};
 use shaletack::net::{boxes, management, watch};
 use shaletack::operator::{self, Operator};
+use shaletack::peers::{self, Peers};
 use shaletack::runtime::host::Host;
 use shaletack::runtime::log::{self, Form};
+use shaletack_knowledge::Observer;
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
@@ -167,10 +169,14 @@
     operator::read(&mut text).map_err(|faults| each(faults).join("\n"))
 }
 
-fn start(settings: Settings, seed: u64) -> Host {
+fn start(settings: Settings, seed: u64, among: Option<Observer>) -> Host {
     let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let now = Instant::now();
-    Host::start(Broker::new(settings, seed, Clock::new(now, unix), now))
+    let broker = Broker::new(settings, seed, Clock::new(now, unix), now);
+    Host::start(match among {
+        Some(me) => broker.among_peers(me),
+        None => broker,
+    })
 }
 
 /// The signals that the program is told by. They are taken before anything is served: one that came
@@ -193,11 +199,20 @@
 
 async fn run_nbd(operator: Operator, file: String) -> Result<(), String> {
     let (mut term, hangup) = signals()?;
-    let host = start(operator.settings.clone(), RandomState::new().build_hasher().finish());
+    let me = operator.peers.as_ref().map(peers::observer);
+    let host = start(operator.settings.clone(), RandomState::new().build_hasher().finish(), me.clone());
     host.feed(Input::List(operator.boxes.clone()));
     let follow = |host: Host, etcd| actix_rt::spawn(etcd::follow(host, etcd)).abort_handle();
     let mut list = operator.etcd.clone();
     let mut task = list.clone().map(|etcd| follow(host.clone(), etcd));
+    // Before clients come, and for 300 ms at most: what the peers know is worth that wait.
+    let among = match operator.peers.as_ref().zip(me) {
+        Some((set, me)) => {
+            let started = Peers::start(host.clone(), set, me).await;
+            Some(started.map_err(|e| format!("peers at {}: {e}", set.listen))?)
+        }
+        None => None,
+    };
     let core = host.clone();
     // Of a new file the list of boxes counts at once, or where it is followed; clients' contracts and
     // mounts stay as they are until the next start.
@@ -219,6 +234,9 @@
     info!(at = %place, exports = operator.exports.len(), "listens for NBD");
     nbd::front::serve(host, operator, listener, async move {
         term.recv().await;
+        if let Some(among) = among {
+            among.leave().await;
+        }
     })
     .await;
     Ok(())
@@ -268,7 +286,7 @@
 ) -> Result<(), String> {
     let Config { name, listen, discovery, management, seed, sockets, memory_mb, known, settings, text } =
         config;
-    let host = start(settings.clone(), seed);
+    let host = start(settings.clone(), seed, None);
     info!(name, boxes = known.entries.len(), revision = known.revision, "starts");
     host.feed(Input::List(known));
     let link = Link::new(host.clone(), handover::path(&name));
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -54,6 +54,17 @@
     pub prefix: String,
 }
 
+/// The other initiators, where they talk to each other.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peers {
+    /// This initiator's name, no other's.
+    pub name: String,
+    /// Where it hears its peers, by UDP and TCP.
+    pub listen: SocketAddr,
+    /// Peers that may be there.
+    pub join: Vec<SocketAddr>,
+}
+
 /// The classes that reads and writes belong to, by number.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Classes {
@@ -84,6 +95,8 @@
     pub boxes: Members,
     /// Where the boxes' list is followed, if anywhere.
     pub etcd: Option<Etcd>,
+    /// The other initiators, if this one talks to them.
+    pub peers: Option<Peers>,
     /// Which classes commands belong to.
     pub classes: Classes,
     /// How many file descriptors the process may hold.
@@ -131,6 +144,19 @@
     let mut faults = Vec::new();
     let listen = address(&file.listen, "/listen", &mut faults);
     let etcd = file.etcd.map(|etcd| (address(&etcd.address, "/etcd/address", &mut faults), etcd.prefix));
+    let peers = file.peers.map(|peers| {
+        let listen = address(&peers.listen, "/peers/listen", &mut faults);
+        if listen.is_some_and(|at| at.port() == 0) {
+            faults.push("/peers/listen: peers can't know a port that is chosen at the start".into());
+        }
+        let join: Vec<_> = peers
+            .join
+            .iter()
+            .enumerate()
+            .filter_map(|(j, at)| address(at, &format!("/peers/join/{j}"), &mut faults))
+            .collect();
+        (peers.name, listen, join)
+    });
     let mut settings = Settings::from(file.settings);
     let classes = classes(&settings, &mut faults);
     let contracts = contracts(&file.teams, &mut settings, &mut faults);
@@ -148,6 +174,7 @@
             exports,
             boxes: Members { revision: 0, kind: ListKind::Cached, entries },
             etcd: etcd.and_then(|(address, prefix)| Some(Etcd { address: address?, prefix })),
+            peers: peers.and_then(|(name, listen, join)| Some(Peers { name, listen: listen?, join })),
             classes,
             settings,
         }),
--- a/src/operator/records.rs
+++ b/src/operator/records.rs
@@ -35,7 +35,14 @@
     #[serde(default)]
     pub boxes: Vec<DiskBox>,
     /// Where the list of boxes is followed, if anywhere.
+    // Not the schema of an option: of a fault within, that would say only that neither form fits.
+    #[serde(default)]
+    #[schemars(with = "Etcd")]
     pub etcd: Option<Etcd>,
+    /// The other initiators of the installation, where they talk to each other.
+    #[serde(default)]
+    #[schemars(with = "Peers")]
+    pub peers: Option<Peers>,
     /// The scheduler's settings, in the platform's form.
     pub settings: Scheduling,
 }
@@ -168,6 +175,20 @@
     pub prefix: String,
 }
 
+/// The other initiators, told and asked what each knows of boxes.
+#[derive(Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Peers {
+    /// This initiator's name, no other's.
+    #[schemars(length(min = 1, max = 64))]
+    pub name: String,
+    /// Where it hears its peers, by UDP and TCP alike: a loopback address and a port.
+    pub listen: String,
+    /// Peers that may be there; any one of them is enough to know all.
+    #[schemars(length(max = 64))]
+    pub join: Vec<String>,
+}
+
 /// The scheduler's settings. Spans are in nanoseconds.
 #[derive(Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
--- a/src/runtime/lines.rs
+++ b/src/runtime/lines.rs
@@ -5,6 +5,9 @@
 use std::fmt::Display;
 use std::time::Duration;
 
+/// Why there is no next line, where nothing came in time.
+pub const SILENCE: &str = "silent";
+
 const LINE_MOST: usize = 4 << 20;
 
 /// What has come of a body and is not yet a whole line.
@@ -29,7 +32,7 @@
                 return Err("a line without end".into());
             }
             match tokio::time::timeout(silent, self.body.next()).await {
-                Err(_) => return Err("silent".into()),
+                Err(_) => return Err(SILENCE.into()),
                 Ok(None) => return Err("closed".into()),
                 Ok(Some(Err(error))) => return Err(format!("broke: {error}")),
                 Ok(Some(Ok(chunk))) => self.held.extend_from_slice(&chunk),
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -95,3 +95,23 @@
     records(&operator::schema(), &mut closed);
     assert!(closed >= 10, "{closed}");
 }
+
+#[test]
+fn the_examples_are_sound_and_peers_are_checked_too() {
+    let pair =
+        [include_str!("../deploy/peers-n1.json"), include_str!("../deploy/peers-n2.json")].map(|text| {
+            let peers = read(text).unwrap().peers.unwrap();
+            (peers.listen, peers.join)
+        });
+    assert_eq!((&pair[0].1[0], &pair[1].1[0]), (&pair[1].0, &pair[0].0), "each lists the other");
+    assert_eq!(read(EXAMPLE).unwrap().peers, None, "off where nothing is said of them");
+    let peers = |name: &str, listen: &str, join: &str| {
+        let set =
+            format!("\"peers\": {{\"name\": \"{name}\", \"listen\": \"{listen}\", \"join\": [\"{join}\"]}}");
+        let text = with(&[("\"unit_bytes\"", &format!("{set}, \"unit_bytes\""))]);
+        read(&text).unwrap_err().0
+    };
+    assert!(peers("n1", "127.0.0.1:0", "127.0.0.1:1")[0].starts_with("/peers/listen: "));
+    assert!(peers("n1", "127.0.0.1:9", "10.0.0.1:1")[0].starts_with("/peers/join/0: "));
+    assert!(peers("", "127.0.0.1:9", "127.0.0.1:1")[0].starts_with("/peers/name: "));
+}
--- /dev/null
+++ b/tests/peers.rs
@@ -0,0 +1,351 @@
+//! Initiators that talk to each other, on loopback: exchanges, bad peers, and two processes, one restarted.
+
+mod common;
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use common::net::*;
+use shaletack::broker::{Broker, Clock, Input};
+use shaletack::interface::{ListKind, Readiness};
+use shaletack::members::{Member, Members};
+use shaletack::nbd::codec::*;
+use shaletack::operator;
+use shaletack::peers::{observer, Peers};
+use shaletack::runtime::host::Host;
+use shaletack::runtime::log::{subscriber, Form};
+use shaletack_knowledge::{Observer, Standing, Told, What};
+use shaletack_peers::frame;
+use std::io::{self, BufRead, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tracing::level_filters::LevelFilter;
+
+/// What the story's thread logs.
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Kept {
+    fn start() -> (Self, tracing::subscriber::DefaultGuard) {
+        let kept = Kept::default();
+        let out = kept.clone();
+        let guard =
+            tracing::subscriber::set_default(subscriber(Form::Text, LevelFilter::INFO, move || out.clone()));
+        (kept, guard)
+    }
+
+    fn lines(&self, with: &str) -> Vec<String> {
+        let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
+        text.lines().filter(|l| l.contains(with)).map(String::from).collect()
+    }
+}
+
+fn member(id: &str, readiness: Readiness) -> Member {
+    let address = Some("127.0.0.1:9".parse().unwrap());
+    Member { id: id.into(), address, zone: String::new(), shard: 0, readiness, up_since: None }
+}
+
+/// One initiator in this process, whose list is old unless it says otherwise.
+async fn initiator(name: &str, join: &[SocketAddr], boxes: Vec<Member>) -> (Host, Peers, Duration) {
+    let set =
+        operator::Peers { name: name.into(), listen: "127.0.0.1:0".parse().unwrap(), join: join.to_vec() };
+    let me = observer(&set);
+    let settings =
+        operator(&[("127.0.0.1:9".parse().unwrap(), 0), ("127.0.0.1:9".parse().unwrap(), 1)]).settings;
+    let now = Instant::now();
+    let broker = Broker::new(settings, 7, Clock::new(now, Duration::from_secs(1_000_000)), now);
+    let host = Host::start(broker.among_peers(me.clone()));
+    host.feed(Input::List(Members { revision: 1, kind: ListKind::Cached, entries: boxes }));
+    let start = Instant::now();
+    let peers = Peers::start(host.clone(), &set, me).await.unwrap();
+    (host, peers, start.elapsed())
+}
+
+async fn until(mut done: impl FnMut() -> bool) {
+    while !done() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[test]
+fn an_initiator_knows_at_its_start_what_its_peer_knows_and_hears_the_rest_while_it_runs() {
+    story(async {
+        let (log, _guard) = Kept::start();
+        let boxes = || vec![member("s-1", Readiness::Ready), member("s-2", Readiness::Ready)];
+        let (a, a_peers, _) = initiator("a", &[], boxes()).await;
+        let news = |id, readiness| {
+            Input::List(Members {
+                revision: 2,
+                kind: ListKind::Changes,
+                entries: vec![member(id, readiness)],
+            })
+        };
+        a.feed(news("s-1", Readiness::Gone));
+        let (_b, b_peers, took) = initiator("b", &[a_peers.at()], boxes()).await;
+        assert!(took < Duration::from_secs(1), "{took:?}");
+        let told = |id: &str| log.lines(&format!("peers say of a box id=\"{id}\" stopped=true")).len();
+        assert_eq!((told("s-1"), told("s-2")), (1, 0), "known before clients come");
+        until(|| a_peers.names() == ["b"] && b_peers.names() == ["a"]).await;
+        a.feed(news("s-2", Readiness::Draining));
+        until(|| told("s-2") == 1).await;
+        b_peers.leave().await;
+        until(|| a_peers.names().is_empty()).await;
+    });
+}
+
+/// Each of them costs one line and no more, and none keeps a start waiting.
+#[test]
+fn bad_peers_cost_one_line_each_and_teach_nothing() {
+    story(async {
+        let (log, _guard) = Kept::start();
+        let lie = Told {
+            what: What::Standing("s-1".into(), Standing::Gone),
+            by: Observer { name: "x".into(), life: 1 },
+            start: 0,
+            hops: 0,
+            age: Duration::ZERO,
+        };
+        let good = frame::encode(&lie.by, Duration::ZERO, vec![lie.clone()]);
+        let with = |at: usize, bytes: &[u8]| {
+            let mut frame = good.clone();
+            frame[at..at + bytes.len()].copy_from_slice(bytes);
+            frame
+        };
+        let answers: Vec<(Vec<u8>, &str)> = vec![
+            (b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec(), "not a peer's frame"),
+            (with(4, &[0, 9]), "version 9, where this program speaks 1"),
+            (with(6, &[0x7f; 4]), "2139062143 bytes, where 65536 are the most"),
+            (good[..good.len() - 3].to_vec(), "cut short"),
+            (with(12, &[1, 2]), "the sum does not fit"),
+            (Vec::new(), "silent for 300 ms"),
+        ];
+        let mut bad = Vec::new();
+        for (bytes, _) in answers.clone() {
+            let silent = bytes.is_empty();
+            bad.push(
+                peer(move |mut stream, _| {
+                    let bytes = bytes.clone();
+                    async move {
+                        let _ = stream.write_all(&bytes).await;
+                        if silent {
+                            std::future::pending::<()>().await;
+                        }
+                        // The asker's own frame is read, so that closing does not reset what was said.
+                        let _ = stream.shutdown().await;
+                        let _ = stream.read_to_end(&mut Vec::new()).await;
+                    }
+                })
+                .await,
+            );
+        }
+        let (_, gone) = loopback().await;
+        bad.push(gone);
+        let (host, peers, took) = initiator("a", &bad, vec![member("s-1", Readiness::Ready)]).await;
+        assert!(took < Duration::from_secs(1), "all of them together: {took:?}");
+        for (_, why) in &answers {
+            assert_eq!(log.lines(why).len(), 1, "{why}");
+        }
+        assert_eq!(log.lines("an exchange with a peer failed").len(), 7);
+        assert!(log.lines("peers say").is_empty() && host.is_ready());
+        // The same from those that ask.
+        for (bytes, why) in answers {
+            let mut stream = TcpStream::connect(peers.at()).await.unwrap();
+            stream.write_all(&bytes).await.unwrap();
+            if !bytes.is_empty() {
+                stream.shutdown().await.unwrap();
+            }
+            let mut back = Vec::new();
+            let _ = stream.read_to_end(&mut back).await;
+            assert!(back.is_empty(), "{why}");
+            until(|| log.lines(why).len() == 2).await;
+        }
+        assert!(log.lines("peers say").is_empty());
+        // A whole frame is answered, and believed.
+        let mut stream = TcpStream::connect(peers.at()).await.unwrap();
+        stream.write_all(&good).await.unwrap();
+        let mut back = Vec::new();
+        stream.read_to_end(&mut back).await.unwrap();
+        assert_eq!(frame::decode(&back).unwrap().from.name, "a");
+        until(|| log.lines("peers say").len() == 1).await;
+    });
+}
+
+#[test]
+fn two_processes_of_one_name_are_told_of_once_and_both_serve_on() {
+    story(async {
+        let (log, _guard) = Kept::start();
+        let boxes = || vec![member("s-1", Readiness::Ready)];
+        let (_a, a, _) = initiator("a", &[], boxes()).await;
+        let (_b, b, _) = initiator("a", &[a.at()], boxes()).await;
+        until(|| a.names() == ["a"] && b.names() == ["a"]).await;
+        let told = || log.lines("two processes have one name among the peers").len();
+        until(|| told() == 2).await;
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        assert_eq!(told(), 2, "each of them once");
+    });
+}
+
+/// Ends the process whatever becomes of the test.
+struct Process(Child, mpsc::UnboundedReceiver<String>);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Process {
+    fn start(file: &str, text: &str) -> Self {
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("peers-{}-{file}", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_shaletack"))
+            .args(["serve", "--operator"])
+            .arg(path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (say, said) = mpsc::unbounded_channel();
+        let lines = io::BufReader::new(child.stderr.take().unwrap()).lines();
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|l| say.send(l)));
+        Process(child, said)
+    }
+
+    async fn says(&mut self, what: &str) -> String {
+        loop {
+            let line = self.1.recv().await.expect("it goes on");
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    /// Where clients connect.
+    async fn place(&mut self) -> SocketAddr {
+        let line = self.says("listens for NBD").await;
+        line.split(" at=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap()
+    }
+}
+
+/// An operator's file of one shard that two boxes hold.
+fn file(
+    boxes: [SocketAddr; 2],
+    etcd: Option<SocketAddr>,
+    peers: Option<(&str, SocketAddr, SocketAddr)>,
+) -> String {
+    let lane = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","aim":400000000,"deadline":1500000000,"idempotency":"{effect}","value":1}}"#
+        )
+    };
+    let lanes =
+        [lane("leitura", "idempotent"), lane("gravacao", "at_most_once"), lane("exportacao", "idempotent")];
+    let entry = |at: SocketAddr, id| format!(r#"{{"id":"{id}","host_port":"{at}","phase":"up"}}"#);
+    let etcd = etcd.map_or(String::new(), |at| format!(r#""etcd":{{"address":"{at}","prefix":"/boxes/"}},"#));
+    let peers = peers.map_or(String::new(), |(name, at, join)| {
+        format!(r#""peers":{{"name":"{name}","listen":"{at}","join":["{join}"]}},"#)
+    });
+    format!(
+        r#"{{"listen":"127.0.0.1:0","unit_bytes":4096,"large_from":16384,{etcd}{peers}
+        "teams":[{{"name":"t","contracts":[{{"plan":"p","reserve":5}}]}}],
+        "exports":[{{"name":"serra","team":"t","plan":"p","volume":"a1","size":65536,
+            "extents":[{{"length":65536,"shard":0}}]}}],
+        "boxes":[{},{}],
+        "settings":{{"balancers":2,"step":1000000,"lanes":[{}],
+            "limits":{{"connect-timeout":200000000,"try-limit":1,"cancelling":true}},
+            "domain":{{"units-top":8,"unit-mean":2}}}}}}"#,
+        entry(boxes[0], "s-1"),
+        entry(boxes[1], "s-2"),
+        lanes.join(",")
+    )
+}
+
+/// Reads four at a time, so that both boxes are wanted; how many failed.
+async fn read(front: SocketAddr, rounds: u64) -> usize {
+    let mut client = NbdClient::go(front).await;
+    let mut failed = 0;
+    for _ in 0..rounds {
+        for cookie in 1..=4 {
+            client.send(cmd::READ, 0, cookie, cookie * 4096, 4096, &[]).await;
+        }
+        for _ in 0..4 {
+            failed += usize::from(client.reply().await.error != 0);
+        }
+    }
+    failed
+}
+
+/// The measured need: a stale list names a box that stands still. A peer that runs has heard that it is gone.
+#[test]
+fn a_process_that_is_killed_and_comes_back_with_a_stale_list_asks_a_running_one() {
+    story(async {
+        let (stands, serves) =
+            (NbdBox::start(Script::Silent, 1 << 16).await, NbdBox::start(Script::Serve, 1 << 16).await);
+        let boxes = [stands.address, serves.address];
+        let entry = format!(r#"{{"id":"s-2","host_port":"{}","cell":0,"phase":"up"}}"#, serves.address);
+        let kv = |id: &str, value: &str| {
+            let (key, value) = (STANDARD.encode(format!("/boxes/{id}")), STANDARD.encode(value));
+            format!(r#"{{"key":"{key}","value":"{value}"}}"#)
+        };
+        let gone = kv("s-1", r#"{"id":"s-1","cell":0,"phase":"removed"}"#);
+        let list = format!(r#"{{"header":{{"revision":"7"}},"kvs":[{},{gone}]}}"#, kv("s-2", &entry));
+        let agent = HttpBox::start(move |_, head| {
+            Some(match head.contains("/v3/kv/range") {
+                true => (answer("200 OK", list.as_bytes(), 0), false),
+                false => {
+                    let line = r#"{"result":{"header":{"revision":"7"},"created":true}}"#;
+                    let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+                    (format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}").into(), false)
+                }
+            })
+        })
+        .await;
+        let ports = [loopback().await, loopback().await];
+        let (at_a, at_b) = (ports[0].1, ports[1].1);
+        drop(ports);
+        let stale = file(boxes, None, Some(("b", at_b, at_a)));
+        // Without a peer, what the list says is tried.
+        let mut alone = Process::start("alone.json", &file(boxes, None, None));
+        let front = alone.place().await;
+        let cold = read(front, 2).await;
+        assert!(cold > 0, "the case must arise");
+        drop(alone);
+        let mut running =
+            Process::start("a.json", &file(boxes, Some(agent.address), Some(("a", at_a, at_b))));
+        let _ = running.place().await;
+        running.says(r#"list id="s-1" standing=Gone"#).await;
+        let mut first = Process::start("b.json", &stale);
+        let _ = first.place().await;
+        first.says("a peer is there").await;
+        first.0.kill().unwrap();
+        drop(first);
+        let tried = stands.seen.borrow().len();
+        let mut again = Process::start("b.json", &stale);
+        let told = again.says("peers say of a box").await;
+        assert!(told.contains(r#"id="s-1" stopped=true"#), "{told}");
+        let front = again.place().await;
+        assert_eq!(read(front, 6).await, 0, "{cold} of 8 failed without a peer");
+        assert_eq!(stands.seen.borrow().len(), tried, "nothing goes to a box that is gone");
+        // A planned stop is told.
+        running.says("a peer is there").await;
+        assert!(Command::new("kill").args(["-TERM", &again.0.id().to_string()]).status().unwrap().success());
+        running.says("a peer is gone").await;
+    });
+}
