Decide what becomes of each buffered write: order, overlay, barriers, doubt, recovery

Need: a write must be durable before it is acknowledged as such, its intent before it is sent, and after a crash nothing may be sent blindly.

Cause found on the way: a segment was removed while the last batch still named it as of use, so that a crash there made a whole log look damaged; segments now go only behind a durable batch that does without them, an empty one if need be.

Change: crates/writeback, a reducer round crates/wal: stages of a piece, overlay for reads, flushes, superseded pieces, waiting out old attempts, reading back, doubt and an operator's word.

--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -53,6 +53,15 @@
     live: u64,
 }
 
+/// A segment of no more use that is still on disk.
+#[derive(Clone, Copy, Debug)]
+struct Retired {
+    segment: u64,
+    used: u64,
+    /// The commits issued before it was retired still say that it is of use.
+    issued: u64,
+}
+
 /// A record that no commit has taken yet.
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -76,6 +85,8 @@
     last: Seq,
     durable: Seq,
     sealed: bool,
+    retired: VecDeque<Retired>,
+    issued: u64,
 }
 
 impl Log {
@@ -93,6 +104,8 @@
             last: 0,
             durable: 0,
             sealed: true,
+            retired: VecDeque::new(),
+            issued: 0,
         }
     }
 
@@ -137,22 +150,34 @@
 
     /// Bytes on disk, and those that wait to go there.
     pub fn used(&self) -> u64 {
-        self.segments.values().map(|s| s.used).sum::<u64>() + self.pending_bytes
+        let retired: u64 = self.retired.iter().map(|r| r.used).sum();
+        self.segments.values().map(|s| s.used).sum::<u64>() + retired + self.pending_bytes
     }
 
-    /// Takes a record; it is durable once [`Log::durable`] has come to its number.
-    pub fn append(&mut self, kind: Kind, record: Vec<u8>) -> Result<Seq, Refused> {
+    /// Whether records of these lengths would all be taken.
+    pub fn takes(&self, kind: Kind, lengths: impl Iterator<Item = usize>) -> Result<(), Refused> {
         if self.state == State::Failed {
             return Err(Refused::Failed);
         }
-        let takes = size([record.len()].into_iter()) as u64;
-        if record.len() > RECORD_MOST || takes > self.config.segment {
-            return Err(Refused::TooLarge);
+        let mut bytes = 0;
+        for length in lengths {
+            let takes = size([length].into_iter()) as u64;
+            if length > RECORD_MOST || takes > self.config.segment {
+                return Err(Refused::TooLarge);
+            }
+            bytes += takes;
         }
         let most = self.config.most - if kind == Kind::Data { self.config.reserved } else { 0 };
-        if self.used() + takes > most {
+        if self.used() + bytes > most {
             return Err(Refused::Full);
         }
+        Ok(())
+    }
+
+    /// Takes a record; it is durable once [`Log::durable`] has come to its number.
+    pub fn append(&mut self, kind: Kind, record: Vec<u8>) -> Result<Seq, Refused> {
+        self.takes(kind, [record.len()].into_iter())?;
+        let takes = size([record.len()].into_iter()) as u64;
         self.last += 1;
         self.pending_bytes += takes;
         self.pending.push_back(Waiting { seq: self.last, kind, record });
@@ -161,9 +186,14 @@
 
     /// What is to be made durable next: all that waits and fits into one segment. One at a time.
     pub fn commit(&mut self) -> Option<Commit> {
-        if self.state == State::Failed || self.out.is_some() || self.pending.is_empty() {
+        if self.state == State::Failed || self.out.is_some() {
             return None;
         }
+        if self.pending.is_empty() {
+            // What is of no more use goes only behind a batch that says so, be it an empty one.
+            let waits = self.retired.back().is_some_and(|r| r.issued == self.issued);
+            return if waits { self.empty_batch() } else { None };
+        }
         let tail = self.segments.iter().next_back().map(|(n, s)| (*n, s.used));
         let whole = self.config.segment;
         let fits = |used: u64, waiting: &VecDeque<Waiting>| {
@@ -197,6 +227,7 @@
         place.live += of_use;
         place.used = at + bytes.len() as u64;
         self.out = Some(last);
+        self.issued += 1;
         self.sealed = false;
         Some(Commit { segment, create: at == 0, at, bytes })
     }
@@ -205,15 +236,26 @@
     /// write that was cut off. For when nothing else is to be written.
     pub fn seal(&mut self) -> Option<Commit> {
         let idle = self.state == State::Open && self.out.is_none() && self.pending.is_empty();
-        let oldest = self.oldest();
-        let (segment, place) = self.segments.iter_mut().next_back().filter(|_| idle && !self.sealed)?;
-        if place.used + BLOCK as u64 > self.config.segment {
-            return None;
+        if idle && !self.sealed && !self.segments.is_empty() {
+            self.empty_batch()
+        } else {
+            None
         }
-        let (at, bytes) = (place.used, batch(self.identity, *segment, self.last + 1, oldest, &[]));
+    }
+
+    fn empty_batch(&mut self) -> Option<Commit> {
+        let room = |s: &Segment| s.used + BLOCK as u64 <= self.config.segment;
+        let segment = match self.segments.iter().next_back() {
+            Some((segment, place)) if room(place) => *segment,
+            _ => self.roll(),
+        };
+        let bytes = batch(self.identity, segment, self.last + 1, self.oldest(), &[]);
+        let place = self.segments.entry(segment).or_default();
+        let at = place.used;
         place.used += bytes.len() as u64;
         (self.sealed, self.out) = (true, Some(self.last));
-        Some(Commit { segment: *segment, create: false, at, bytes })
+        self.issued += 1;
+        Some(Commit { segment, create: at == 0, at, bytes })
     }
 
     /// The commit that was out ended so.
@@ -234,15 +276,22 @@
         }
     }
 
-    /// The oldest segment, once nothing in it is of use; only ever the oldest, so that what says how a record
-    /// ended never goes before the record. The last one stays.
+    /// A segment to be removed: the oldest, once nothing in it is of use and a batch that does without it is
+    /// durable. Only ever the oldest, so that what says how a record ended never goes before the record. The last
+    /// one stays.
     pub fn removable(&mut self) -> Option<u64> {
-        let (&oldest, place) = self.segments.first_key_value()?;
-        if self.segments.len() < 2 || place.live > 0 || self.out.is_some() {
-            return None;
+        while self.segments.len() > 1 {
+            let Some(oldest) = self.segments.first_entry().filter(|entry| entry.get().live == 0) else {
+                break;
+            };
+            let (segment, place) = oldest.remove_entry();
+            self.retired.push_back(Retired { segment, used: place.used, issued: self.issued });
         }
-        self.segments.remove(&oldest);
-        Some(oldest)
+        let done = self.issued - u64::from(self.out.is_some());
+        let first = self.retired.front().filter(|r| r.issued < done)?;
+        let segment = first.segment;
+        self.retired.pop_front();
+        Some(segment)
     }
 
     /// Records of use that keep the oldest segment, where little of it is: they are to be appended anew and then
--- a/crates/wal/src/recover.rs
+++ b/crates/wal/src/recover.rs
@@ -60,6 +60,8 @@
 /// Reads all segments of a log, given by number in rising order.
 pub fn recover(identity: Identity, segments: &[(u64, Vec<u8>)]) -> Result<Recovered, Damage> {
     let mut found = Recovered::default();
+    // A segment is removed only once a batch that does without it is durable.
+    let mut oldest = u64::MAX;
     for (place, (number, bytes)) in segments.iter().enumerate() {
         let is_last = place + 1 == segments.len();
         if let Some((before, _)) = place.checked_sub(1).map(|p| &segments[p]) {
@@ -68,7 +70,7 @@
             }
         }
         let flaw = |at: usize| Damage::Flaw { segment: *number, at: at as u64 };
-        let (mut at, lowest) = (0, segments[0].0);
+        let mut at = 0;
         while at < bytes.len() {
             match form::read(&bytes[at..], identity, *number) {
                 Ok((head, records, length)) => {
@@ -77,9 +79,7 @@
                     if head.first != expected {
                         return Err(flaw(at));
                     }
-                    if head.oldest < lowest {
-                        return Err(Damage::Missing(head.oldest));
-                    }
+                    oldest = head.oldest;
                     for (i, record) in records.into_iter().enumerate() {
                         found.records.push((head.first + i as u64, *number, record));
                     }
@@ -105,5 +105,8 @@
         }
         found.segments.push((*number, at as u64));
     }
-    Ok(found)
+    match segments.first() {
+        Some((lowest, _)) if *lowest > oldest => Err(Damage::Missing(oldest)),
+        _ => Ok(found),
+    }
 }
--- a/crates/wal/tests/faults.rs
+++ b/crates/wal/tests/faults.rs
@@ -162,6 +162,14 @@
                     while let Some(segment) = log.removable() {
                         disk.remove(segment).unwrap();
                     }
+                    // One that frees whole segments at a time.
+                    if pick == 39 {
+                        let durable: Vec<Seq> = model.keys().filter(|s| **s <= log.durable()).copied().collect();
+                        durable.into_iter().for_each(|seq| {
+                            log.release(seq);
+                            model.remove(&seq);
+                        });
+                    }
                 }
                 Step::Crash(drawn) | Step::CrashTwice(drawn, _) => {
                     let durable = log.durable();
@@ -277,6 +285,10 @@
     assert_eq!(log.removable(), None);
     assert_eq!(log.stragglers(), [1], "one old record holds the whole log");
     log.release(1);
+    assert_eq!(log.removable(), None, "not before a batch that does without them is durable");
+    let commit = log.commit().unwrap();
+    assert_eq!((log.removable(), log.append(Kind::Data, vec![1])), (None, Err(Refused::Full)));
+    log.committed(disk.commit(&commit).is_ok());
     let mut removed = 0;
     while let Some(segment) = log.removable() {
         disk.remove(segment).unwrap();
--- /dev/null
+++ b/crates/writeback/tests/crashes.rs
@@ -0,0 +1,382 @@
+//! Buffered writes over a disk that tears and a box that answers as it likes, with crashes anywhere: nothing
+//! acknowledged is lost, nothing reaches the box twice, and what overlaps keeps its order.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use shaletack_wal::{recover, Commit, Config as LogConfig, Identity};
+use shaletack_writeback::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const S: Duration = Duration::from_secs(1);
+const LIVES: Duration = Duration::from_secs(5);
+const BLOCK: u64 = 4096;
+const IDENTITY: Identity = Identity { log: 1, purpose: 2 };
+/// The export, in cells of four bytes, half of it on each of two shards.
+const CELLS: u64 = 32;
+const EXPORT: u64 = 77;
+
+fn config(unsettled: Unsettled) -> Config {
+    let log = LogConfig { segment: 8 * BLOCK, most: 48 * BLOCK, reserved: 12 * BLOCK };
+    Config { log, attempt_lives: LIVES, unsettled }
+}
+
+/// A disk of which unsynced sectors may or may not be there after a crash.
+#[derive(Clone, Default)]
+struct Disk {
+    files: BTreeMap<u64, Vec<u8>>,
+}
+
+impl Disk {
+    fn put(&mut self, commit: &Commit, keep: impl Fn(usize) -> bool) {
+        for (i, sector) in commit.bytes.chunks(512).enumerate().filter(|(i, _)| keep(*i)) {
+            let (file, at) = (self.files.entry(commit.segment).or_default(), commit.at as usize + i * 512);
+            file.resize(file.len().max(at + sector.len()), 0);
+            file[at..at + sector.len()].copy_from_slice(sector);
+        }
+    }
+}
+
+/// An attempt that the box has read and may still run.
+#[derive(Clone)]
+struct Attempt {
+    id: PieceId,
+    at: u64,
+    data: Bytes,
+    until: Duration,
+}
+
+struct World {
+    now: Duration,
+    disk: Disk,
+    buffer: Buffer,
+    unsettled: Unsettled,
+    commit: Option<Commit>,
+    ready: BTreeSet<PieceId>,
+    doubts: BTreeSet<PieceId>,
+    reads: Vec<PieceId>,
+    flying: Vec<PieceId>,
+    attempts: Vec<Attempt>,
+    cells: Vec<u32>,
+    /// How often each value was written to each cell of the box.
+    ran: BTreeMap<(u32, u64), u32>,
+    /// Of each cell the values written, oldest first, and from which on none may be lost.
+    history: Vec<(Vec<u32>, usize)>,
+    acked: BTreeSet<Token>,
+    refused: BTreeSet<Token>,
+    /// Commands that promise durability, and the values that stood when they were given.
+    promises: BTreeMap<Token, Vec<usize>>,
+    last: u32,
+}
+
+impl World {
+    fn new(unsettled: Unsettled) -> Self {
+        World {
+            now: Duration::ZERO,
+            disk: Disk::default(),
+            buffer: Buffer::new(IDENTITY, config(unsettled)),
+            unsettled,
+            commit: None,
+            ready: BTreeSet::new(),
+            doubts: BTreeSet::new(),
+            reads: Vec::new(),
+            flying: Vec::new(),
+            attempts: Vec::new(),
+            cells: vec![0; CELLS as usize],
+            ran: BTreeMap::new(),
+            history: vec![(vec![0], 0); CELLS as usize],
+            acked: BTreeSet::new(),
+            refused: BTreeSet::new(),
+            promises: BTreeMap::new(),
+            last: 0,
+        }
+    }
+
+    fn feed(&mut self, input: Input) {
+        let effects = self.buffer.step(self.now, input);
+        self.carry_out(effects);
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Commit(commit) => assert!(self.commit.replace(commit).is_none(), "one at a time"),
+                Effect::Remove(segment) => drop(self.disk.files.remove(&segment)),
+                Effect::Ack(token) => {
+                    assert!(self.acked.insert(token), "one answer");
+                    for (cell, floor) in self.promises.remove(&token).into_iter().flatten().enumerate() {
+                        let own = &mut self.history[cell].1;
+                        *own = (*own).max(floor);
+                    }
+                }
+                Effect::Refuse(token, why) => {
+                    assert!(why == Refusal::Full && self.refused.insert(token), "one answer");
+                    // Nothing of it has come to pass.
+                    self.promises.remove(&token);
+                    self.history.iter_mut().for_each(|h| h.0.retain(|v| u64::from(*v) != token));
+                }
+                Effect::Ready(id) => assert!(self.ready.insert(id)),
+                Effect::Withdraw(id) => assert!(self.ready.remove(&id)),
+                Effect::Send(id) => {
+                    let (_, at, data) = self.buffer.piece(id).unwrap();
+                    self.attempts.push(Attempt { id, at, data, until: self.now + LIVES });
+                    self.flying.push(id);
+                }
+                Effect::ReadBack(id) => self.reads.push(id),
+                Effect::Doubt(id) => drop(self.doubts.insert(id)),
+                Effect::Failed | Effect::Wake(_) => {}
+            }
+        }
+    }
+
+    fn write(&mut self, from: u64, count: u64, fua: bool) {
+        self.last += 1;
+        let (token, value, end) = (u64::from(self.last), self.last, (from + count).min(CELLS));
+        let piece = |a: u64, b: u64, shard| NewPiece {
+            from: a * 4,
+            shard,
+            at: a * 4,
+            data: value.to_le_bytes().repeat((b - a) as usize).into(),
+        };
+        let half = CELLS / 2;
+        let pieces = match (from < half, end > half) {
+            (true, true) => vec![piece(from, half, 0), piece(half, end, 1)],
+            (left, _) => vec![piece(from, end, u16::from(!left))],
+        };
+        (from..end).for_each(|c| self.history[c as usize].0.push(value));
+        if fua {
+            // Once acknowledged, this value is the floor of its cells.
+            let floor =
+                |c: u64| if (from..end).contains(&c) { self.history[c as usize].0.len() - 1 } else { 0 };
+            self.promises.insert(token, (0..CELLS).map(floor).collect());
+        }
+        self.feed(Input::Write { token, export: EXPORT, pieces, fua });
+    }
+
+    fn flush(&mut self) {
+        self.last += 1;
+        let floors = self.history.iter().map(|h| h.0.len() - 1).collect();
+        self.promises.insert(u64::from(self.last), floors);
+        self.feed(Input::Flush { token: u64::from(self.last), export: EXPORT });
+    }
+
+    fn finish_commit(&mut self) {
+        if let Some(commit) = self.commit.take() {
+            self.disk.put(&commit, |_| true);
+            self.feed(Input::Committed(true));
+        }
+    }
+
+    fn run(&mut self, n: usize) -> PieceId {
+        let Attempt { id, at, data, .. } = self.attempts.remove(n);
+        for (i, value) in data.chunks(4).enumerate() {
+            let (cell, value) = (at / 4 + i as u64, u32::from_le_bytes(value.try_into().unwrap()));
+            self.cells[cell as usize] = value;
+            *self.ran.entry((value, cell)).or_default() += 1;
+        }
+        id
+    }
+
+    /// Of what is out, one comes to an end, as drawn.
+    fn answer(&mut self, drawn: u64) {
+        let Some(id) = self.flying.get(drawn as usize % self.flying.len().max(1)).copied() else { return };
+        self.flying.retain(|f| *f != id);
+        let n = self.attempts.iter().rposition(|a| a.id == id).unwrap();
+        match drawn >> 8 & 3 {
+            0 | 1 => {
+                self.run(n);
+                self.feed(Input::Ended(id, Proof::Ran));
+            }
+            2 => {
+                drop(self.attempts.remove(n));
+                self.feed(Input::Ended(id, Proof::NeverRan));
+            }
+            // It stands: it may run until its time is over, or not.
+            _ => self.feed(Input::Ended(id, Proof::Unknown)),
+        }
+    }
+
+    /// Time passes; what stands at the box runs, or is lost with its time.
+    fn pass(&mut self, span: Duration, drawn: u64) {
+        if !self.attempts.is_empty() && drawn & 1 == 1 {
+            let n = drawn as usize / 2 % self.attempts.len();
+            // Those whose answer is awaited are answered by `answer`.
+            if !self.flying.contains(&self.attempts[n].id) {
+                self.run(n);
+            }
+        }
+        self.now += span;
+        let (now, flying) = (self.now, self.flying.clone());
+        self.attempts.retain(|a| a.until > now || flying.contains(&a.id));
+        self.feed(Input::Woke);
+    }
+
+    fn read_back(&mut self, drawn: u64) {
+        let Some(id) = self.reads.pop() else { return };
+        let Some((_, at, data)) = self.buffer.piece(id) else { return };
+        let cells = &self.cells[(at / 4) as usize..][..data.len() / 4];
+        let there = cells.iter().flat_map(|v| v.to_le_bytes()).collect::<Vec<u8>>();
+        let bytes = (drawn & 3 != 0).then(|| there.into());
+        self.feed(Input::ReadBack(id, bytes));
+    }
+
+    /// An operator looks at what is in doubt, and says what is so.
+    fn decide(&mut self) {
+        let Some(id) = self.doubts.pop_first() else { return };
+        let (_, at, data) = self.buffer.piece(id).unwrap();
+        let value = u32::from_le_bytes(data[..4].try_into().unwrap());
+        let ran = self.ran.contains_key(&(value, at / 4));
+        self.feed(Input::Decide(id, if ran { Decision::Drop } else { Decision::Resend }));
+    }
+
+    fn crash(&mut self, drawn: u64) {
+        if let Some(commit) = self.commit.take() {
+            let named = self.disk.files.contains_key(&commit.segment) || drawn & 1 == 1;
+            self.disk.put(&commit, |i| named && drawn >> (i % 61 + 2) & 1 == 1);
+        }
+        // What was out is closed; what the box has read may run until its time is over.
+        let now = self.now;
+        self.attempts.iter_mut().for_each(|a| a.until = a.until.min(now + LIVES));
+        (self.ready, self.doubts, self.reads, self.flying) = Default::default();
+        self.promises = BTreeMap::new();
+        let segments: Vec<_> = self.disk.files.clone().into_iter().collect();
+        let found = recover(IDENTITY, &segments).expect("the log is whole");
+        if let Some((segment, at)) = found.torn {
+            self.disk.files.entry(segment).or_default().truncate(at as usize);
+        }
+        let (buffer, effects) =
+            Buffer::recover(IDENTITY, config(self.unsettled), &found, now).expect("readable");
+        self.buffer = buffer;
+        self.carry_out(effects);
+        // What is seen now is one of the values since the last promise; what came after it is lost for good.
+        let seen = self.visible();
+        for (cell, value) in seen.into_iter().enumerate() {
+            let (values, floor) = &mut self.history[cell];
+            let place = values.iter().rposition(|v| *v == value).expect("a value that was written");
+            assert!(place >= *floor, "cell {cell}: {value} is older than promised: {values:?} from {floor}");
+            values.truncate(place + 1);
+            *floor = place;
+        }
+    }
+
+    fn visible(&self) -> Vec<u32> {
+        let mut cells = self.cells.clone();
+        for (from, data) in self.buffer.overlay(EXPORT, 0, CELLS * 4) {
+            for (i, value) in data.chunks(4).enumerate() {
+                cells[(from / 4) as usize + i] = u32::from_le_bytes(value.try_into().unwrap());
+            }
+        }
+        cells
+    }
+
+    fn check(&self) {
+        for ((value, cell), times) in &self.ran {
+            assert!(*times <= 1, "{value} reached cell {cell} of the box {times} times");
+        }
+        for (cell, value) in self.visible().into_iter().enumerate() {
+            let newest = self.history[cell].0.last().copied().unwrap();
+            assert_eq!(value, newest, "cell {cell}");
+        }
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<(u8, u64)>> {
+    prop::collection::vec((0u8..20, any::<u64>()), 1..160)
+}
+
+fn play(unsettled: Unsettled, steps: Vec<(u8, u64)>) {
+    let mut world = World::new(unsettled);
+    for (kind, drawn) in steps {
+        match kind {
+            0..=4 => world.write(drawn % CELLS, 1 + drawn / 64 % 8, drawn >> 32 & 3 == 0),
+            5 => world.flush(),
+            6..=9 => world.finish_commit(),
+            10..=12 => {
+                if let Some(id) = world.ready.pop_first() {
+                    world.feed(Input::Start(id));
+                }
+            }
+            13 | 14 => world.answer(drawn),
+            15 => world.pass(Duration::from_millis(drawn % 2000), drawn >> 20),
+            16 => world.read_back(drawn),
+            17 => world.feed(Input::Idle),
+            18 => {
+                world.decide();
+            }
+            _ => world.crash(drawn),
+        }
+        world.check();
+    }
+    // In the end all of it reaches the box, each write once, but for what only an operator can settle.
+    for _ in 0..400 {
+        world.finish_commit();
+        world.pass(S, 0);
+        world.finish_commit();
+        while !world.reads.is_empty() {
+            world.read_back(1);
+        }
+        while let Some(id) = world.ready.pop_first() {
+            world.feed(Input::Start(id));
+        }
+        world.finish_commit();
+        while !world.flying.is_empty() {
+            world.answer(0);
+        }
+        world.check();
+        if world.buffer.held().0 == 0 && world.commit.is_none() {
+            break;
+        }
+        // What is in doubt holds back what overlaps it, until somebody looks.
+        let sure = world.buffer.held().0 - world.buffer.doubts().len();
+        if sure == 0 || world.ready.is_empty() && world.flying.is_empty() {
+            world.decide();
+        }
+    }
+    assert_eq!(world.buffer.held().0, 0, "something never goes");
+    let newest: Vec<u32> = world.history.iter().map(|h| *h.0.last().unwrap()).collect();
+    assert_eq!(world.cells, newest, "the box holds what was written last");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(400) })]
+
+    #[test]
+    fn no_crash_loses_what_is_promised_or_sends_twice(steps in steps()) {
+        play(Unsettled::Ask, steps);
+    }
+
+    #[test]
+    fn nor_does_one_that_sends_again_after_the_bound(steps in steps()) {
+        play(Unsettled::Resend, steps);
+    }
+}
+
+/// Where not even what settles has room, nothing starts: an intent must not overtake the end of what came before.
+#[test]
+fn a_start_that_the_log_has_no_room_for_is_postponed_and_comes_again() {
+    let log = LogConfig { segment: 8 * BLOCK, most: 16 * BLOCK, reserved: BLOCK };
+    let config = Config { log, ..config(Unsettled::Ask) };
+    let mut buffer = Buffer::new(IDENTITY, config);
+    let piece = |n: u64| NewPiece { from: n * 4000, shard: 0, at: n * 4000, data: vec![1; 3900].into() };
+    let mut ready = Vec::new();
+    for n in 0..15 {
+        let write = Input::Write { token: n, export: 1, pieces: vec![piece(n)], fua: false };
+        let mut effects = buffer.step(S, write);
+        while effects.iter().any(|e| matches!(e, Effect::Commit(_))) {
+            effects = buffer.step(S, Input::Committed(true));
+            ready.extend(
+                effects.iter().filter_map(|e| if let Effect::Ready(id) = e { Some(*id) } else { None }),
+            );
+        }
+    }
+    assert_eq!(ready.len(), 15);
+    let full = Input::Write { token: 99, export: 1, pieces: vec![piece(99)], fua: false };
+    assert!(buffer.step(S, full).contains(&Effect::Refuse(99, Refusal::Full)));
+    // The first takes the last block, and what comes while it is on its way has none.
+    assert!(matches!(buffer.step(S, Input::Start(1))[..], [Effect::Commit(_)]));
+    assert!(buffer.step(S, Input::Start(2)).contains(&Effect::Wake(S + Duration::from_millis(100))));
+    assert_eq!(buffer.stage(2), Some(Stage::Durable));
+    assert!(buffer.step(S, Input::Committed(true)).contains(&Effect::Send(1)));
+    let later = S + Duration::from_millis(100);
+    assert!(buffer.step(later, Input::Woke).contains(&Effect::Ready(2)));
+}
