Buffer writes over NBD in the durable log, by export, and drain them as background work

Need: a buffered write is acknowledged from the log and goes to its box later, through the decision module like any gravacao.

Change: src/writeback: segments as files under a lock, commits on a blocking thread, sends and read-backs as requests of the core, started by the background scheduler, which pauses a shard while clients read it.

--- a/crates/wal/src/form.rs
+++ b/crates/wal/src/form.rs
@@ -71,6 +71,11 @@
     out
 }
 
+/// A log's purpose, from what describes it.
+pub fn purpose(of: &[u8]) -> u64 {
+    xxh3_64(of)
+}
+
 fn number(bytes: &[u8], at: usize) -> u64 {
     let mut out = [0; 8];
     out.copy_from_slice(&bytes[at..at + 8]);
--- a/crates/writeback/src/buffer.rs
+++ b/crates/writeback/src/buffer.rs
@@ -356,6 +356,16 @@
         self.pieces.get(&id).map(|p| (p.shard, p.at, p.data.clone()))
     }
 
+    /// The export of a piece, by its volume.
+    pub fn export(&self, id: PieceId) -> Option<u64> {
+        self.pieces.get(&id).map(|p| p.export)
+    }
+
+    /// Whether all that was taken is durable, or never will be.
+    pub fn is_durable(&self) -> bool {
+        self.log.durable() == self.log.last() || self.log.state() == LogState::Failed
+    }
+
     /// How far a piece is; `None`: it is settled, or never was.
     pub fn stage(&self, id: PieceId) -> Option<Stage> {
         self.pieces.get(&id).map(|p| p.stage)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peers;
 pub mod runtime;
 pub mod wire;
+pub mod writeback;
 
 #[doc = include_str!("../README.md")]
 #[cfg(doctest)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -238,8 +238,7 @@
             among.leave().await;
         }
     })
-    .await;
-    Ok(())
+    .await
 }
 
 /// The clients' socket, where whoever starts the program holds it: the descriptor that ROUTER_FD names.
--- a/src/nbd/front.rs
+++ b/src/nbd/front.rs
@@ -6,8 +6,10 @@
 use crate::operator::{Export, Operator};
 use crate::runtime::gate::{Closing, Gate};
 use crate::runtime::host::Host;
+use crate::writeback::{covers, patch, Keeper};
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use shaletack_writeback::{NewPiece, Refusal};
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::io;
@@ -35,6 +37,7 @@
 const STUCK: Duration = Duration::from_secs(30);
 
 struct Shared {
+    keeper: Option<Keeper>,
     host: Host,
     operator: Operator,
     boxes: Rc<Boxes>,
@@ -44,8 +47,14 @@
 /// A message for the client, and the memory it holds until it is written.
 type Out = (Vec<u8>, Bytes, Option<Arc<OwnedSemaphorePermit>>);
 
-/// Serves until `stop` ends, and then what was taken.
-pub async fn serve(host: Host, operator: Operator, listener: TcpListener, stop: impl Future<Output = ()>) {
+/// Serves until `stop` ends, and then what was taken. `Err`: the buffer for writes can't be had, and nothing is
+/// served.
+pub async fn serve(
+    host: Host,
+    operator: Operator,
+    listener: TcpListener,
+    stop: impl Future<Output = ()>,
+) -> Result<(), String> {
     let settings = &operator.settings;
     let or = |span: Duration, other: Duration| if span.is_zero() { other } else { span };
     let connect = or(settings.connect_timeout, Duration::from_millis(250));
@@ -56,9 +65,17 @@
     let gate =
         Gate { listener, host: host.clone(), most, closing: closing.clone(), succeeded: Rc::new(|| false) };
     let boxes = Rc::new(Boxes::new(operator.box_export.clone(), connect, idle));
+    let keeper =
+        operator.write_back.as_ref().map(|set| Keeper::open(host.clone(), boxes.clone(), &operator, set));
+    let keeper = keeper.transpose()?;
     let memory = Arc::new(Semaphore::new(MEMORY_KIB));
-    let shared = Rc::new(Shared { host, operator, boxes, memory });
+    let kept = keeper.clone();
+    let shared = Rc::new(Shared { keeper, host, operator, boxes, memory });
     gate.serve(stop, |stream| connection(shared.clone(), closing.clone(), stream)).await;
+    if let Some(keeper) = kept {
+        keeper.close().await;
+    }
+    Ok(())
 }
 
 async fn connection(shared: Rc<Shared>, closing: Closing, stream: TcpStream) {
@@ -355,11 +372,63 @@
         self.shared.host.ask(ask, Rc::new(piece)).await
     }
 
+    /// A write or flush of an export whose writes are buffered.
+    async fn buffer(&self, keeper: &Keeper, request: &Request, parts: &[Part], data: &Bytes) {
+        let done = if request.command == cmd::FLUSH {
+            keeper.flush(&self.export).await
+        } else {
+            let piece = |part: &Part| NewPiece {
+                from: request.offset + u64::from(part.skip),
+                shard: part.shard,
+                at: part.at,
+                data: data.slice(part.skip as usize..(part.skip + part.length) as usize),
+            };
+            let (pieces, class) = (parts.iter().map(piece).collect(), self.shared.operator.classes.write);
+            let settings = self.shared.host.settings();
+            let patience = settings.classes.get(class as usize).map_or(Duration::ZERO, |c| c.deadline);
+            keeper.write(&self.export, pieces, request.flags & flag::FUA != 0, patience).await
+        };
+        match done {
+            Ok(()) if self.structured => {
+                self.say(chunk_head(chunk::DONE, chunk::NONE, request.cookie, 0), Bytes::new(), None).await;
+            }
+            Ok(()) => self.say(simple_reply(0, request.cookie), Bytes::new(), None).await,
+            Err(Refusal::Full) => {
+                self.error(request.cookie, errno::NOMEM, "refused: the buffer is full", None).await;
+            }
+            Err(Refusal::TooLarge | Refusal::Failed) => {
+                self.error(request.cookie, errno::IO, "failed: the buffer takes nothing", None).await;
+            }
+        }
+    }
+
     /// One command, answered once: what its parts bring is put together.
     async fn execute(&self, request: Request, data: Bytes, memory: Arc<OwnedSemaphorePermit>) {
         let (cookie, read) = (request.cookie, request.command == cmd::READ);
         let parts = self.parts(&request);
-        let asks = parts.iter().map(|part| async { (*part, self.ask(&request, *part, &data).await) });
+        let keeper = self.shared.keeper.as_ref().filter(|_| self.export.write_back);
+        if let Some(keeper) = keeper.filter(|_| !read) {
+            return self.buffer(keeper, &request, &parts, &data).await;
+        }
+        // Taken before any box is asked: what leaves the buffer meanwhile may not be in what they answer.
+        let overlay =
+            keeper.map(|k| k.overlay(&self.export, request.offset, request.length)).unwrap_or_default();
+        let overlay = overlay.as_slice();
+        let asks = parts.iter().map(|part| async {
+            let from = request.offset + u64::from(part.skip);
+            if read && covers(from, part.length, overlay) {
+                let bytes = patch(from, vec![0; part.length as usize], overlay);
+                return (*part, Answer::Served(bytes.into()));
+            }
+            let _needs = self.shared.keeper.as_ref().map(|keeper| keeper.needs(part.shard));
+            let answer = match self.ask(&request, *part, &data).await {
+                Answer::Served(bytes) if !overlay.is_empty() => {
+                    Answer::Served(patch(from, bytes.into(), overlay).into())
+                }
+                answer => answer,
+            };
+            (*part, answer)
+        });
         let mut asks: FuturesUnordered<_> = asks.collect();
         // Pieces go out as they come where the client takes them so; else the whole is put together first.
         let at_once = read && self.structured && request.flags & flag::DF == 0;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -7,10 +7,12 @@
 use crate::json::Fault;
 use crate::members::{Member, Members};
 use records::{DiskBox, File, Phase};
+use shaletack_writeback::Unsettled;
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// A part of an export that lies on one shard.
@@ -39,6 +41,8 @@
     pub plan: u16,
     /// Through how many initiators its requests come.
     pub hosts: f64,
+    /// Its writes are buffered.
+    pub write_back: bool,
     /// Its size in bytes.
     pub size: u64,
     /// Where its data lies, without gaps, in order.
@@ -65,6 +69,23 @@
     pub join: Vec<SocketAddr>,
 }
 
+/// The buffer for writes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WriteBack {
+    /// Where its log lies.
+    pub folder: PathBuf,
+    /// The log's bounds.
+    pub log: shaletack_wal::Config,
+    /// The longest that an attempt may still run at a box after its connection closed.
+    pub attempt_lives: Duration,
+    /// What becomes of a write that is not at its box after that.
+    pub unsettled: Unsettled,
+    /// Units a second sent to boxes at most; 0: no bound.
+    pub units: u64,
+    /// A write that has waited so long is sent even while clients need its box.
+    pub age_most: Duration,
+}
+
 /// The classes that reads and writes belong to, by number.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Classes {
@@ -97,6 +118,8 @@
     pub etcd: Option<Etcd>,
     /// The other initiators, if this one talks to them.
     pub peers: Option<Peers>,
+    /// The buffer for writes, if there is one.
+    pub write_back: Option<WriteBack>,
     /// Which classes commands belong to.
     pub classes: Classes,
     /// How many file descriptors the process may hold.
@@ -157,6 +180,15 @@
             .collect();
         (peers.name, listen, join)
     });
+    let write_back = file.write_back.map(write_back);
+    for (e, export) in file.exports.iter().enumerate().filter(|(_, e)| e.write_back) {
+        if write_back.is_none() {
+            faults.push(format!("/exports/{e}/write_back: the file has no 'write_back'"));
+        }
+        if export.hosts > 1.0 {
+            faults.push(format!("/exports/{e}/hosts: a buffered export has one initiator, this one"));
+        }
+    }
     let mut settings = Settings::from(file.settings);
     let classes = classes(&settings, &mut faults);
     let contracts = contracts(&file.teams, &mut settings, &mut faults);
@@ -175,6 +207,7 @@
             boxes: Members { revision: 0, kind: ListKind::Cached, entries },
             etcd: etcd.and_then(|(address, prefix)| Some(Etcd { address: address?, prefix })),
             peers: peers.and_then(|(name, listen, join)| Some(Peers { name, listen: listen?, join })),
+            write_back,
             classes,
             settings,
         }),
@@ -192,6 +225,22 @@
     None
 }
 
+/// A segment holds the largest write; a quarter of the log is kept for what settles.
+fn write_back(set: records::WriteBack) -> WriteBack {
+    let most = set.most_mib << 20;
+    WriteBack {
+        folder: set.folder.into(),
+        log: shaletack_wal::Config { segment: (most / 16).min(64 << 20), most, reserved: most / 4 },
+        attempt_lives: Duration::from_millis(set.attempt_lives_ms),
+        unsettled: match set.unsettled {
+            records::Unsettled::Ask => Unsettled::Ask,
+            records::Unsettled::Resend => Unsettled::Resend,
+        },
+        units: set.units,
+        age_most: Duration::from_millis(set.age_ms),
+    }
+}
+
 fn classes(settings: &Settings, faults: &mut Vec<Fault>) -> Option<Classes> {
     let mut class = |name: &str| {
         let at = settings.classes.iter().position(|c| c.name == name);
@@ -315,6 +364,7 @@
                 volume,
                 plan: *plan,
                 hosts: export.hosts,
+                write_back: export.write_back,
                 size: export.size,
                 extents,
             }),
--- a/src/operator/records.rs
+++ b/src/operator/records.rs
@@ -43,6 +43,10 @@
     #[serde(default)]
     #[schemars(with = "Peers")]
     pub peers: Option<Peers>,
+    /// The buffer for writes, needed by exports that say so.
+    #[serde(default)]
+    #[schemars(with = "WriteBack")]
+    pub write_back: Option<WriteBack>,
     /// The scheduler's settings, in the platform's form.
     pub settings: Scheduling,
 }
@@ -111,6 +115,9 @@
     /// Its size in bytes.
     #[schemars(range(min = 1))]
     pub size: u64,
+    /// Writes are buffered; see `write_back` of the file.
+    #[serde(default)]
+    pub write_back: bool,
     /// Where its data lies, in order and without gaps.
     pub extents: Vec<Extent>,
 }
@@ -189,6 +196,51 @@
     pub join: Vec<String>,
 }
 
+/// The buffer for writes.
+#[derive(Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct WriteBack {
+    /// Where its log lies: a folder of its own, on a disk that lasts.
+    #[schemars(length(min = 1))]
+    pub folder: String,
+    /// The most that the log takes, in MiB; writes wait beyond.
+    #[serde(default = "most_mib")]
+    #[schemars(range(min = 64, max = 65_536))]
+    pub most_mib: u64,
+    /// The longest that an attempt may still run at a box after its connection closed, in milliseconds.
+    #[schemars(range(min = 100, max = 3_600_000))]
+    pub attempt_lives_ms: u64,
+    /// What becomes of a write that is not at its box after that.
+    #[serde(default)]
+    pub unsettled: Unsettled,
+    /// Units a second sent to boxes at most; 0: no bound.
+    #[serde(default)]
+    pub units: u64,
+    /// A write that has waited so long is sent even while clients need its box, in milliseconds.
+    #[serde(default = "age_ms")]
+    #[schemars(range(min = 1))]
+    pub age_ms: u64,
+}
+
+fn most_mib() -> u64 {
+    256
+}
+
+fn age_ms() -> u64 {
+    3000
+}
+
+/// What becomes of a write that is not at its box after its attempt can't run any more.
+#[derive(Clone, Copy, Debug, Default, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Unsettled {
+    /// It waits for an operator.
+    #[default]
+    Ask,
+    /// It is sent again: the operator vouches for `attempt_lives_ms`, and that nobody else writes there.
+    Resend,
+}
+
 /// The scheduler's settings. Spans are in nanoseconds.
 #[derive(Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
--- /dev/null
+++ b/src/writeback/mod.rs
@@ -0,0 +1,359 @@
+//! Write-back: the files, the loop and the attempts round `shaletack-writeback`. Off unless the operator's file
+//! says otherwise, and never on the platform.
+//!
+//! It carries out what the buffer asks for, and gives what is ready to the scheduler of background work and then
+//! to the core, as a `gravacao` like any other. It decides neither order nor doubt.
+
+mod files;
+
+use crate::broker::{Answer, Ask};
+use crate::nbd::boxes::{Boxes, Piece};
+use crate::nbd::codec::cmd;
+use crate::operator::{Export, Operator, WriteBack};
+use crate::runtime::host::Host;
+use bytes::Bytes;
+use files::Files;
+use shaletack_background::{Scheduler, Sort, Task};
+use shaletack_wal::{form, Commit, Disk};
+use shaletack_writeback::{Buffer, Config, Effect, Input, NewPiece, PieceId, Proof, Refusal, Token};
+use std::cell::{Cell, RefCell};
+use std::collections::hash_map::RandomState;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{BuildHasher, Hasher};
+use std::rc::{Rc, Weak};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, Notify};
+use tracing::{error, info, warn};
+
+/// Nothing was written for so long: the log is sealed.
+const IDLE: Duration = Duration::from_secs(1);
+/// A write that the log has no room for is tried again after so long, while its client waits.
+const FULL: Duration = Duration::from_millis(20);
+/// At the stop the log has so long to become whole.
+const CLOSES: Duration = Duration::from_secs(5);
+/// The most attempts out at a time, in all and at one shard.
+const OUT_MOST: usize = 64;
+const SHARD_MOST: usize = 8;
+
+struct Inner {
+    host: Host,
+    boxes: Rc<Boxes>,
+    operator: Operator,
+    files: Arc<Mutex<Files>>,
+    buffer: RefCell<Buffer>,
+    background: RefCell<Scheduler>,
+    waiting: RefCell<HashMap<Token, oneshot::Sender<Result<(), Refusal>>>>,
+    last: Cell<Token>,
+    start: Instant,
+    wake: Cell<Option<Duration>>,
+    rearm: Notify,
+    committing: Cell<bool>,
+    wrote: Cell<Duration>,
+    needs: RefCell<BTreeMap<u16, usize>>,
+}
+
+/// The buffer of one process.
+#[derive(Clone)]
+pub struct Keeper(Rc<Inner>);
+
+/// What the log is for: exports that may be buffered, where their bytes lie, and on what boxes' export. A log
+/// that was made for others would put its writes in the wrong place.
+fn purpose(operator: &Operator) -> u64 {
+    let buffered = operator.exports.iter().filter(|e| e.write_back);
+    let of: Vec<_> = buffered.map(|e| (e.volume, e.size, &e.extents)).collect();
+    form::purpose(format!("{of:?} {}", operator.box_export).as_bytes())
+}
+
+impl Keeper {
+    /// Takes the log and goes on where it ended.
+    pub fn open(host: Host, boxes: Rc<Boxes>, operator: &Operator, set: &WriteBack) -> Result<Self, String> {
+        let drawn = RandomState::new().build_hasher().finish();
+        let (files, identity, found) = Files::open(&set.folder, drawn, purpose(operator))?;
+        let config = Config { log: set.log, attempt_lives: set.attempt_lives, unsettled: set.unsettled };
+        let (records, torn) = (found.records.len(), found.torn.is_some());
+        let (buffer, effects) = Buffer::recover(identity, config, &found, Duration::ZERO)
+            .map_err(|seq| format!("{}: record {seq} can't be read", set.folder.display()))?;
+        let sort = Sort {
+            priority: 1,
+            units: set.units,
+            bytes: 0,
+            burst: Duration::from_secs(1),
+            out_most: OUT_MOST,
+            place_most: SHARD_MOST,
+            age_most: set.age_most,
+        };
+        info!(folder = %set.folder.display(), records, torn, unsettled = buffer.held().0, "write-back is on");
+        let keeper = Keeper(Rc::new(Inner {
+            host,
+            boxes,
+            operator: operator.clone(),
+            files: Arc::new(Mutex::new(files)),
+            buffer: RefCell::new(buffer),
+            background: RefCell::new(Scheduler::new(&[sort], Duration::ZERO)),
+            waiting: RefCell::default(),
+            last: Cell::new(0),
+            start: Instant::now(),
+            wake: Cell::new(None),
+            rearm: Notify::new(),
+            committing: Cell::new(false),
+            wrote: Cell::new(Duration::ZERO),
+            needs: RefCell::default(),
+        }));
+        keeper.carry_out(effects);
+        actix_rt::spawn(keep_time(Rc::downgrade(&keeper.0)));
+        Ok(keeper)
+    }
+
+    fn now(&self) -> Duration {
+        self.0.start.elapsed()
+    }
+
+    fn feed(&self, input: Input) {
+        let effects = self.0.buffer.borrow_mut().step(self.now(), input);
+        self.carry_out(effects);
+    }
+
+    fn carry_out(&self, effects: Vec<Effect>) {
+        let inner = &self.0;
+        inner.wake.set(None);
+        for effect in effects {
+            match effect {
+                Effect::Commit(commit) => self.commit(commit),
+                Effect::Remove(segment) => {
+                    let files = inner.files.clone();
+                    actix_rt::task::spawn_blocking(move || {
+                        let removed = files.lock().unwrap_or_else(PoisonError::into_inner).remove(segment);
+                        // It costs room and no more: the next start finds it.
+                        let _ = removed.inspect_err(|why| warn!(segment, %why, "write-back: not removed"));
+                    });
+                }
+                Effect::Ack(token) => self.answer(token, Ok(())),
+                Effect::Refuse(token, why) => self.answer(token, Err(why)),
+                Effect::Ready(id) => self.ready(id),
+                Effect::Withdraw(id) => inner.background.borrow_mut().remove(id),
+                Effect::Send(id) => self.send(id),
+                Effect::ReadBack(id) => self.read_back(id),
+                Effect::Doubt(id) => warn!(id, "write-back: a write can't be settled without an operator"),
+                Effect::Failed => error!("write-back: the log failed; no write is taken any more"),
+                Effect::Wake(at) => inner.wake.set(Some(at)),
+            }
+        }
+        self.start_ready();
+        inner.rearm.notify_one();
+    }
+
+    fn answer(&self, token: Token, answer: Result<(), Refusal>) {
+        if let Some(waiting) = self.0.waiting.borrow_mut().remove(&token) {
+            // Where the client is gone by now nobody reads it.
+            let _ = waiting.send(answer);
+        }
+    }
+
+    fn commit(&self, commit: Commit) {
+        let (files, keeper) = (self.0.files.clone(), self.clone());
+        self.0.committing.set(true);
+        actix_rt::spawn(async move {
+            let written = actix_rt::task::spawn_blocking(move || {
+                files.lock().unwrap_or_else(PoisonError::into_inner).commit(&commit)
+            });
+            let done = written.await.unwrap_or_else(|e| Err(std::io::Error::other(e.to_string())));
+            let whole = done.inspect_err(|why| error!(%why, "write-back: the log can't be written")).is_ok();
+            keeper.0.committing.set(false);
+            keeper.0.wrote.set(keeper.now());
+            keeper.feed(Input::Committed(whole));
+        });
+    }
+
+    fn ready(&self, id: PieceId) {
+        let Some((shard, _, data)) = self.0.buffer.borrow().piece(id) else { return };
+        let units = (data.len() as u64).div_ceil(self.0.operator.unit_bytes.into()).max(1);
+        let task = Task { sort: 0, place: shard.into(), units, bytes: data.len() as u64, since: self.now() };
+        // One that could not start is still counted as out.
+        let mut background = self.0.background.borrow_mut();
+        background.remove(id);
+        background.add(id, task);
+    }
+
+    /// Starts what may go to its box now.
+    fn start_ready(&self) {
+        let picked = self.0.background.borrow_mut().pick(self.now());
+        for id in picked {
+            let keeper = self.clone();
+            // Apart from the step that it follows from.
+            actix_rt::spawn(async move {
+                keeper.feed(Input::Start(id));
+            });
+        }
+    }
+
+    fn attempt(&self, id: PieceId, command: u16) -> Option<impl std::future::Future<Output = Answer>> {
+        let inner = self.0.clone();
+        let (shard, at, data) = inner.buffer.borrow().piece(id)?;
+        let export = inner.buffer.borrow().export(id)?;
+        let export = inner.operator.exports.iter().find(|e| e.volume == export)?.clone();
+        let classes = inner.operator.classes;
+        let class = if command == cmd::WRITE { classes.write } else { classes.read };
+        let patience =
+            inner.host.settings().classes.get(class as usize).map_or(Duration::ZERO, |c| c.deadline);
+        let length = data.len() as u32;
+        let ask = Ask {
+            class,
+            volume: export.volume,
+            plan: export.plan,
+            hosts: export.hosts,
+            key: id,
+            shard: Some(shard),
+            units: f64::from(length.div_ceil(inner.operator.unit_bytes).max(1)),
+            patience,
+            repeat: false,
+        };
+        let (boxes, data) = (inner.boxes.clone(), if command == cmd::WRITE { data } else { Bytes::new() });
+        // On stable storage at the box before it leaves the log.
+        let piece = Piece { boxes, command, fua: command == cmd::WRITE, offset: at, length, data };
+        Some(async move { inner.host.ask(ask, Rc::new(piece)).await })
+    }
+
+    fn send(&self, id: PieceId) {
+        let Some(attempt) = self.attempt(id, cmd::WRITE) else { return };
+        let keeper = self.clone();
+        actix_rt::spawn(async move {
+            let proof = match attempt.await {
+                Answer::Served(_) => Proof::Ran,
+                // Refused is said only of what provably never ran.
+                Answer::Refused(after) => {
+                    tokio::time::sleep(after).await;
+                    Proof::NeverRan
+                }
+                Answer::Failed => Proof::Unknown,
+            };
+            keeper.0.background.borrow_mut().remove(id);
+            keeper.feed(Input::Ended(id, proof));
+        });
+    }
+
+    fn read_back(&self, id: PieceId) {
+        let Some(attempt) = self.attempt(id, cmd::READ) else { return };
+        let keeper = self.clone();
+        actix_rt::spawn(async move {
+            let bytes = match attempt.await {
+                Answer::Served(bytes) => Some(bytes),
+                Answer::Refused(_) | Answer::Failed => None,
+            };
+            keeper.feed(Input::ReadBack(id, bytes));
+        });
+    }
+
+    async fn ask(&self, input: impl FnOnce(Token) -> Input) -> Result<(), Refusal> {
+        let token = self.0.last.get() + 1;
+        self.0.last.set(token);
+        let (done, answered) = oneshot::channel();
+        self.0.waiting.borrow_mut().insert(token, done);
+        self.feed(input(token));
+        answered.await.unwrap_or(Err(Refusal::Failed))
+    }
+
+    /// Takes a write; while the log is full it waits, as long as its client does.
+    pub async fn write(
+        &self,
+        export: &Export,
+        pieces: Vec<NewPiece>,
+        fua: bool,
+        patience: Duration,
+    ) -> Result<(), Refusal> {
+        let until = Instant::now() + patience;
+        loop {
+            let (volume, pieces) = (export.volume, pieces.clone());
+            match self.ask(|token| Input::Write { token, export: volume, pieces, fua }).await {
+                Err(Refusal::Full) if Instant::now() + FULL < until => tokio::time::sleep(FULL).await,
+                answer => return answer,
+            }
+        }
+    }
+
+    /// Ends once all that was taken of an export is durable.
+    pub async fn flush(&self, export: &Export) -> Result<(), Refusal> {
+        self.ask(|token| Input::Flush { token, export: export.volume }).await
+    }
+
+    /// What a read is to be overlaid with, taken before its boxes are asked.
+    pub fn overlay(&self, export: &Export, from: u64, length: u32) -> Vec<(u64, Bytes)> {
+        self.0.buffer.borrow().overlay(export.volume, from, length.into())
+    }
+
+    /// Clients' requests wait for a shard until this is dropped.
+    pub fn needs(&self, shard: u16) -> Needs {
+        self.need(shard, 1);
+        Needs(self.clone(), shard)
+    }
+
+    fn need(&self, shard: u16, change: isize) {
+        let mut needs = self.0.needs.borrow_mut();
+        let count = needs.entry(shard).or_default();
+        *count = count.saturating_add_signed(change);
+        self.0.background.borrow_mut().need(shard.into(), *count);
+    }
+
+    /// Waits until all that was taken is in the log, and for no box.
+    pub async fn close(&self) {
+        let until = Instant::now() + CLOSES;
+        while (self.0.committing.get() || !self.0.buffer.borrow().is_durable()) && Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let (pieces, bytes) = self.0.buffer.borrow().held();
+        info!(unsettled = pieces, bytes, durable = self.0.buffer.borrow().is_durable(), "write-back stops");
+    }
+}
+
+/// A client's request that waits for a shard.
+pub struct Needs(Keeper, u16);
+
+impl Drop for Needs {
+    fn drop(&mut self) {
+        self.0.need(self.1, -1);
+        self.0 .0.rearm.notify_one();
+    }
+}
+
+/// Lays buffered pieces over what came from a box for a range that starts there.
+pub fn patch(from: u64, mut bytes: Vec<u8>, overlay: &[(u64, Bytes)]) -> Vec<u8> {
+    let end = from + bytes.len() as u64;
+    for (at, data) in overlay {
+        let (first, last) = ((*at).max(from), (at + data.len() as u64).min(end));
+        if first < last {
+            let piece = &data[(first - at) as usize..(last - at) as usize];
+            bytes[(first - from) as usize..(last - from) as usize].copy_from_slice(piece);
+        }
+    }
+    bytes
+}
+
+/// Whether buffered pieces hold all of a range.
+pub fn covers(from: u64, length: u32, overlay: &[(u64, Bytes)]) -> bool {
+    let mut spans: Vec<(u64, u64)> = overlay.iter().map(|(at, d)| (*at, at + d.len() as u64)).collect();
+    spans.sort_unstable();
+    let reached = spans.iter().fold(from, |to, (a, b)| if *a <= to { to.max(*b) } else { to });
+    reached >= from + u64::from(length)
+}
+
+async fn keep_time(inner: Weak<Inner>) {
+    loop {
+        let Some(keeper) = inner.upgrade().map(Keeper) else { return };
+        let idle = keeper.0.wrote.get() + IDLE;
+        let now = keeper.now();
+        let background = keeper.0.background.borrow().next();
+        let first =
+            [keeper.0.wake.get(), background, (idle > now).then_some(idle)].into_iter().flatten().min();
+        let wait = first.map_or(IDLE, |at| at.saturating_sub(now)).max(Duration::from_millis(1));
+        // Nothing is missed in between: what is rung before it is waited for is kept.
+        let _ = tokio::time::timeout(wait, keeper.0.rearm.notified()).await;
+        let now = keeper.now();
+        if keeper.0.wake.get().is_some_and(|at| at <= now) {
+            keeper.feed(Input::Woke);
+        } else if now >= idle && !keeper.0.committing.get() {
+            keeper.feed(Input::Idle);
+        } else {
+            keeper.start_ready();
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod net;
+pub mod process;
 
 use shaletack::choice::Scheduler;
 use shaletack::interface::*;
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -193,7 +193,7 @@
     core.feed(Input::List(operator.boxes.clone()));
     let (front, until) = (core.clone(), stop.clone());
     actix_rt::spawn(async move {
-        shaletack::nbd::front::serve(front, operator, listener, until.notified()).await
+        shaletack::nbd::front::serve(front, operator, listener, until.notified()).await.unwrap()
     });
     (address, stop, core)
 }
--- /dev/null
+++ b/tests/common/process.rs
@@ -0,0 +1,53 @@
+//! The real program as a process of its own.
+
+use std::io::BufRead;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use tokio::sync::mpsc;
+
+/// Ends the process whatever becomes of the test.
+pub struct Process(pub Child, mpsc::UnboundedReceiver<String>);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Process {
+    /// Starts the program by an operator's file of this text.
+    pub fn start(file: &str, text: &str) -> Self {
+        let path =
+            std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{file}", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_shaletack"))
+            .args(["serve", "--operator"])
+            .arg(path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (say, said) = mpsc::unbounded_channel();
+        let lines = std::io::BufReader::new(child.stderr.take().unwrap()).lines();
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|l| say.send(l)));
+        Process(child, said)
+    }
+
+    /// Its next line with this in it.
+    pub async fn says(&mut self, what: &str) -> String {
+        loop {
+            let line = self.1.recv().await.expect("it goes on");
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    /// Where clients connect.
+    pub async fn place(&mut self) -> SocketAddr {
+        let line = self.says("listens for NBD").await;
+        line.split(" at=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap()
+    }
+}
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -105,6 +105,13 @@
         });
     assert_eq!((&pair[0].1[0], &pair[1].1[0]), (&pair[1].0, &pair[0].0), "each lists the other");
     assert_eq!(read(EXAMPLE).unwrap().peers, None, "off where nothing is said of them");
+    let buffered = read(include_str!("../deploy/writeback.json")).unwrap();
+    assert!(
+        buffered.write_back.is_some() && buffered.exports[0].write_back && !buffered.exports[1].write_back
+    );
+    let lacks = with(&[("\"hosts\": 1", "\"hosts\": 2, \"write_back\": true")]);
+    let paths: Vec<String> = read(&lacks).unwrap_err().0;
+    assert!(paths[0].starts_with("/exports/0/write_back: ") && paths[1].starts_with("/exports/0/hosts: "));
     let peers = |name: &str, listen: &str, join: &str| {
         let set =
             format!("\"peers\": {{\"name\": \"{name}\", \"listen\": \"{listen}\", \"join\": [\"{join}\"]}}");
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -4,6 +4,7 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use common::net::*;
+use common::process::Process;
 use shaletack::broker::{Broker, Clock, Input};
 use shaletack::interface::{ListKind, Readiness};
 use shaletack::members::{Member, Members};
@@ -14,14 +15,13 @@
 use shaletack::runtime::log::{subscriber, Form};
 use shaletack_knowledge::{Observer, Standing, Told, What};
 use shaletack_peers::frame;
-use std::io::{self, BufRead, Write};
+use std::io::{self, Write};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tracing::level_filters::LevelFilter;
 
 /// What the story's thread logs.
@@ -199,51 +199,6 @@
     });
 }
 
-/// Ends the process whatever becomes of the test.
-struct Process(Child, mpsc::UnboundedReceiver<String>);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Process {
-    fn start(file: &str, text: &str) -> Self {
-        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
-            .join(format!("peers-{}-{file}", std::process::id()));
-        std::fs::write(&path, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_shaletack"))
-            .args(["serve", "--operator"])
-            .arg(path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let (say, said) = mpsc::unbounded_channel();
-        let lines = io::BufReader::new(child.stderr.take().unwrap()).lines();
-        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|l| say.send(l)));
-        Process(child, said)
-    }
-
-    async fn says(&mut self, what: &str) -> String {
-        loop {
-            let line = self.1.recv().await.expect("it goes on");
-            if line.contains(what) {
-                return line;
-            }
-        }
-    }
-
-    /// Where clients connect.
-    async fn place(&mut self) -> SocketAddr {
-        let line = self.says("listens for NBD").await;
-        line.split(" at=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap()
-    }
-}
-
 /// An operator's file of one shard that two boxes hold.
 fn file(
     boxes: [SocketAddr; 2],
@@ -322,22 +277,22 @@
         drop(ports);
         let stale = file(boxes, None, Some(("b", at_b, at_a)));
         // Without a peer, what the list says is tried.
-        let mut alone = Process::start("alone.json", &file(boxes, None, None));
+        let mut alone = Process::start("peers-alone.json", &file(boxes, None, None));
         let front = alone.place().await;
         let cold = read(front, 2).await;
         assert!(cold > 0, "the case must arise");
         drop(alone);
         let mut running =
-            Process::start("a.json", &file(boxes, Some(agent.address), Some(("a", at_a, at_b))));
+            Process::start("peers-a.json", &file(boxes, Some(agent.address), Some(("a", at_a, at_b))));
         let _ = running.place().await;
         running.says(r#"list id="s-1" standing=Gone"#).await;
-        let mut first = Process::start("b.json", &stale);
+        let mut first = Process::start("peers-b.json", &stale);
         let _ = first.place().await;
         first.says("a peer is there").await;
         first.0.kill().unwrap();
         drop(first);
         let tried = stands.seen.borrow().len();
-        let mut again = Process::start("b.json", &stale);
+        let mut again = Process::start("peers-b.json", &stale);
         let told = again.says("advice on a box").await;
         assert!(told.contains(r#"id="s-1" stopped=true"#), "{told}");
         let front = again.place().await;
--- /dev/null
+++ b/tests/writeback.rs
@@ -0,0 +1,151 @@
+//! Write-back on real files and sockets: the process is killed, and what it promised is there.
+
+mod common;
+use common::net::*;
+use common::process::Process;
+use shaletack::nbd::codec::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const CELL: u32 = 512;
+
+fn folder(name: &str) -> PathBuf {
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-writeback-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
+
+fn file(at: SocketAddr, folder: &std::path::Path, unsettled: &str) -> String {
+    let lane = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","aim":400000000,"deadline":1500000000,"idempotency":"{effect}","value":1}}"#
+        )
+    };
+    let lanes =
+        [lane("leitura", "idempotent"), lane("gravacao", "at_most_once"), lane("exportacao", "idempotent")];
+    format!(
+        r#"{{"listen":"127.0.0.1:0","unit_bytes":4096,"large_from":16384,
+        "teams":[{{"name":"t","contracts":[{{"plan":"p","reserve":5}}]}}],
+        "exports":[{{"name":"serra","team":"t","plan":"p","volume":"a1","size":65536,"write_back":true,
+            "extents":[{{"length":65536,"shard":0}}]}}],
+        "write_back":{{"folder":"{}","most_mib":64,"attempt_lives_ms":300,"unsettled":"{unsettled}"}},
+        "boxes":[{{"id":"s-1","host_port":"{at}","phase":"up"}}],
+        "settings":{{"balancers":1,"step":1000000,"lanes":[{}],
+            "limits":{{"connect-timeout":200000000,"try-limit":3,"cancelling":true}},
+            "domain":{{"units-top":8,"unit-mean":2}}}}}}"#,
+        folder.display(),
+        lanes.join(",")
+    )
+}
+
+async fn write(client: &mut NbdClient, cell: u64, value: u8, flags: u16) -> u32 {
+    let data = [value; CELL as usize];
+    client.send(cmd::WRITE, flags, cell, cell * u64::from(CELL), CELL, &data).await;
+    client.reply().await.error
+}
+
+async fn read(client: &mut NbdClient, cell: u64) -> u8 {
+    client.send(cmd::READ, 0, 1000 + cell, cell * u64::from(CELL), CELL, &[]).await;
+    let got = client.reply().await;
+    assert_eq!(got.error, 0, "{}", got.text);
+    let bytes = got.bytes();
+    assert!(bytes.iter().all(|b| *b == bytes[0]), "a cell of two writes");
+    bytes[0]
+}
+
+/// How often a write of each cell reached the box.
+fn reached(boxed: &NbdBox) -> BTreeMap<u64, usize> {
+    let mut counts = BTreeMap::new();
+    for request in boxed.seen.borrow().iter().filter(|r| r.command == cmd::WRITE) {
+        *counts.entry(request.offset / u64::from(CELL)).or_default() += 1;
+    }
+    counts
+}
+
+async fn until(mut done: impl FnMut() -> bool) {
+    while !done() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[test]
+fn a_box_that_stands_still_holds_up_no_write_flush_or_read_and_a_kill_loses_nothing() {
+    story(async {
+        let boxed = NbdBox::start(Script::Silent, 1 << 16).await;
+        let folder = folder("stands");
+        let text = file(boxed.address, &folder, "ask");
+        let mut first = Process::start("stands.json", &text);
+        let mut client = NbdClient::go(first.place().await).await;
+        assert_eq!(write(&mut client, 1, 11, flag::FUA).await, 0);
+        assert_eq!(write(&mut client, 2, 22, 0).await, 0);
+        client.send(cmd::FLUSH, 0, 99, 0, 0, &[]).await;
+        assert_eq!(client.reply().await.error, 0);
+        assert_eq!((read(&mut client, 1).await, read(&mut client, 2).await), (11, 22));
+        // A second process on the same log is refused, clearly.
+        let mut second = Process::start("stands.json", &text);
+        second.says("another process has this log").await;
+        assert!(!second.0.wait().unwrap().success());
+        until(|| boxed.count(cmd::WRITE) == 2).await;
+        first.0.kill().unwrap();
+        drop(first);
+        // Both were sent and never answered: they are read back, and not sent again.
+        boxed.script.set(Script::Serve);
+        let mut again = Process::start("stands.json", &text);
+        let mut client = NbdClient::go(again.place().await).await;
+        assert_eq!((read(&mut client, 1).await, read(&mut client, 2).await), (11, 22));
+        until(|| reached(&boxed).len() == 2).await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert_eq!((read(&mut client, 1).await, read(&mut client, 2).await), (11, 22));
+        assert_eq!(reached(&boxed), BTreeMap::from([(1, 1), (2, 1)]), "each once");
+        // A log of other exports is refused.
+        drop(again);
+        let mut other = Process::start(
+            "stands-other.json",
+            &text.replace("\"at\":0", "\"at\":1").replace("\"a1\"", "\"a2\""),
+        );
+        other.says("the log was made for other exports or boxes").await;
+        assert!(!other.0.wait().unwrap().success());
+    });
+}
+
+/// Killed again and again while clients write: what was acknowledged with FUA is there each time, and no write
+/// reaches the box twice.
+#[test]
+fn kills_in_the_midst_of_writing_lose_nothing_acknowledged_and_send_nothing_twice() {
+    story(async {
+        let boxed = NbdBox::start(Script::Serve, 1 << 16).await;
+        let folder = folder("kills");
+        // A write that was to be sent when the process was killed goes again, once it can't run any more.
+        let text = file(boxed.address, &folder, "resend");
+        let mut promised = BTreeMap::new();
+        for life in 0..6u64 {
+            let mut process = Process::start("kills.json", &text);
+            let mut client = NbdClient::go(process.place().await).await;
+            for (cell, value) in &promised {
+                assert_eq!(read(&mut client, *cell).await, *value, "cell {cell} in life {life}");
+            }
+            // Each cell is written once in all, so that what reaches the box can be counted.
+            for n in 0..=life * 3 {
+                let (cell, value) = (life * 16 + n, (life * 16 + n) as u8 + 1);
+                assert_eq!(write(&mut client, cell, value, flag::FUA).await, 0);
+                promised.insert(cell, value);
+            }
+            process.0.kill().unwrap();
+        }
+        let mut last = Process::start("kills.json", &text);
+        let mut client = NbdClient::go(last.place().await).await;
+        until(|| reached(&boxed).len() == promised.len()).await;
+        for (cell, value) in &promised {
+            assert_eq!(read(&mut client, *cell).await, *value);
+        }
+        assert!(reached(&boxed).values().all(|count| *count == 1), "{:?}", reached(&boxed));
+        // A planned stop leaves the log whole.
+        let pid = last.0.id().to_string();
+        assert!(std::process::Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        let line = last.says("write-back stops").await;
+        assert!(line.contains("durable=true"), "{line}");
+    });
+}
