Settle buffered writes by an operator's word, and let an idle buffer rest

Cause: a buffer at rest fed itself 'idle' without end, which held the one thread for ever (a process that had sealed its log answered nobody); and what is in doubt could be seen in the log only.

Change: idle is told once until something happens. shaletack writeback list shows what a stopped process left unsettled, settle ID resend|drop decides what may have run, durably; a write that was never sent is refused a decision.

--- a/crates/writeback/src/buffer.rs
+++ b/crates/writeback/src/buffer.rs
@@ -184,12 +184,12 @@
     }
 }
 
-/// A write in doubt, as an operator sees it.
+/// An unsettled piece, as an operator sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Doubt {
+pub struct Held {
     /// Its number.
     pub id: PieceId,
-    /// The export.
+    /// The export, by its volume.
     pub export: u64,
     /// Where in the export.
     pub from: u64,
@@ -199,6 +199,10 @@
     pub shard: u16,
     /// Where on the shard's box.
     pub at: u64,
+    /// It was to be sent, and nothing says how that ended.
+    pub may_have_run: bool,
+    /// Only an operator can settle it.
+    pub in_doubt: bool,
     /// Since when it is buffered, or since the restart.
     pub since: Duration,
 }
@@ -371,18 +375,25 @@
         self.pieces.get(&id).map(|p| p.stage)
     }
 
-    /// What only an operator can settle.
-    pub fn doubts(&self) -> Vec<Doubt> {
-        let doubt = |(id, p): (&PieceId, &Piece)| Doubt {
+    /// All that is not settled, in the order of its coming.
+    pub fn list(&self) -> Vec<Held> {
+        let held = |(id, p): (&PieceId, &Piece)| Held {
             id: *id,
             export: p.export,
             from: p.from,
             length: p.data.len(),
             shard: p.shard,
             at: p.at,
+            may_have_run: p.is_intended(),
+            in_doubt: p.stage == Stage::Doubt,
             since: p.since,
         };
-        self.pieces.iter().filter(|(_, p)| p.stage == Stage::Doubt).map(doubt).collect()
+        self.pieces.iter().map(held).collect()
+    }
+
+    /// How many pieces only an operator can settle.
+    pub fn doubts(&self) -> usize {
+        self.pieces.values().filter(|p| p.stage == Stage::Doubt).count()
     }
 
     /// Unsettled pieces, and the bytes that the log takes.
@@ -407,7 +418,8 @@
             Input::Ended(id, proof) => self.ended(now, id, proof, &mut effects),
             Input::ReadBack(id, bytes) => self.read_back(now, id, bytes, &mut effects),
             Input::Decide(id, decision) => {
-                if self.stage(id) == Some(Stage::Doubt) {
+                // One that waits is decided too: the operator vouches that nothing of it can run any more.
+                if matches!(self.stage(id), Some(Stage::Doubt | Stage::Waiting(_))) {
                     match decision {
                         Decision::Resend => self.never_ran(id, &mut effects),
                         Decision::Drop => self.settle(id, &mut effects),
--- a/crates/writeback/src/lib.rs
+++ b/crates/writeback/src/lib.rs
@@ -11,9 +11,7 @@
 mod buffer;
 mod record;
 
-pub use buffer::{
-    Buffer, Config, Decision, Doubt, Effect, Input, NewPiece, Proof, Refusal, Stage, Unsettled,
-};
+pub use buffer::{Buffer, Config, Decision, Effect, Held, Input, NewPiece, Proof, Refusal, Stage, Unsettled};
 
 /// The number of a piece of a write, on one shard and no larger than a request; never used twice in a log.
 pub type PieceId = u64;
--- a/crates/writeback/tests/crashes.rs
+++ b/crates/writeback/tests/crashes.rs
@@ -327,7 +327,7 @@
             break;
         }
         // What is in doubt holds back what overlaps it, until somebody looks.
-        let sure = world.buffer.held().0 - world.buffer.doubts().len();
+        let sure = world.buffer.held().0 - world.buffer.doubts();
         if sure == 0 || world.ready.is_empty() && world.flying.is_empty() {
             world.decide();
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,9 @@
 use shaletack::peers::{self, Peers};
 use shaletack::runtime::host::Host;
 use shaletack::runtime::log::{self, Form};
+use shaletack::writeback::offline;
 use shaletack_knowledge::Observer;
+use shaletack_writeback::Decision;
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
@@ -34,6 +36,9 @@
        shaletack serve --operator FILE      serve NBD as the operator's file says
        shaletack check-config [FILE]        read a configuration and say what is wrong with it
        shaletack check-config --operator FILE
+       shaletack writeback list --operator FILE
+       shaletack writeback settle ID resend|drop --operator FILE
+                                            what a stopped process left unsettled, and to settle it
        shaletack schema                     print the JSON Schema of the operator's file
        shaletack version                    print the version
        --log-form text|json                 the form of the log on standard error (text)
@@ -60,6 +65,8 @@
 enum Command {
     Serve(Source),
     CheckConfig(Source),
+    /// Of the log of that file: all that is unsettled, or what becomes of one write.
+    WriteBack(String, Option<(u64, Decision)>),
     Schema,
     Version,
     Help,
@@ -103,6 +110,26 @@
                 o.boxes.entries.len()
             );
         }),
+        Command::WriteBack(file, Some((id, decision))) => {
+            load_operator(&file).and_then(|operator| offline::settle(&operator, id, decision))
+        }
+        Command::WriteBack(file, None) => {
+            let operator = load_operator(&file)?;
+            for held in offline::list(&operator)? {
+                let name = operator.exports.iter().find(|e| e.volume == held.export).map(|e| e.name.as_str());
+                println!(
+                    "{} export={} from={} length={} shard={} at={} may_have_run={}",
+                    held.id,
+                    name.unwrap_or("?"),
+                    held.from,
+                    held.length,
+                    held.shard,
+                    held.at,
+                    held.may_have_run
+                );
+            }
+            Ok(())
+        }
         Command::Schema => {
             // Whoever reads it may stop early.
             match writeln!(std::io::stdout(), "{:#}", operator::schema()) {
@@ -125,6 +152,7 @@
 fn command(mut args: lexopt::Parser) -> Result<(Command, Form, LevelFilter), lexopt::Error> {
     let (mut form, mut level) = (Form::Text, LevelFilter::INFO);
     let (mut name, mut file, mut operator) = (None, None, None);
+    let mut words: Vec<String> = Vec::new();
     while let Some(arg) = args.next()? {
         match arg {
             Long("config") => file = Some(args.value()?.string()?),
@@ -135,9 +163,26 @@
             Long("version") | Short('V') => return Ok((Command::Version, form, level)),
             Value(word) if name.is_none() => name = Some(word.string()?),
             Value(word) if name.as_deref() == Some("check-config") => file = Some(word.string()?),
+            Value(word) if name.as_deref() == Some("writeback") => words.push(word.string()?),
             other => return Err(other.unexpected()),
         }
     }
+    if name.as_deref() == Some("writeback") {
+        let file = operator.ok_or("writeback: --operator FILE is needed")?;
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        let decision = match words[..] {
+            ["list"] => None,
+            ["settle", id, "resend"] => Some((id, Decision::Resend)),
+            ["settle", id, "drop"] => Some((id, Decision::Drop)),
+            _ => return Err("writeback: 'list', or 'settle' with a number and 'resend' or 'drop'".into()),
+        };
+        let number = |(id, decision): (&str, Decision)| match id.parse() {
+            Ok(id) => Ok((id, decision)),
+            Err(_) => Err(format!("writeback: '{id}' is not a number")),
+        };
+        let decision = decision.map(number).transpose()?;
+        return Ok((Command::WriteBack(file, decision), form, level));
+    }
     let source = operator.map_or(Source::Platform(file), Source::Operator);
     let command = match name.as_deref() {
         None | Some("serve") => Command::Serve(source),
--- a/src/writeback/mod.rs
+++ b/src/writeback/mod.rs
@@ -5,6 +5,7 @@
 //! to the core, as a `gravacao` like any other. It decides neither order nor doubt.
 
 mod files;
+pub mod offline;
 
 use crate::broker::{Answer, Ask};
 use crate::nbd::boxes::{Boxes, Piece};
@@ -50,6 +51,8 @@
     rearm: Notify,
     committing: Cell<bool>,
     wrote: Cell<Duration>,
+    /// Nothing has happened since the log was last sealed.
+    rests: Cell<bool>,
     needs: RefCell<BTreeMap<u16, usize>>,
 }
 
@@ -98,6 +101,7 @@
             rearm: Notify::new(),
             committing: Cell::new(false),
             wrote: Cell::new(Duration::ZERO),
+            rests: Cell::new(false),
             needs: RefCell::default(),
         }));
         keeper.carry_out(effects);
@@ -110,6 +114,7 @@
     }
 
     fn feed(&self, input: Input) {
+        self.0.rests.set(matches!(input, Input::Idle));
         let effects = self.0.buffer.borrow_mut().step(self.now(), input);
         self.carry_out(effects);
     }
@@ -340,17 +345,16 @@
     loop {
         let Some(keeper) = inner.upgrade().map(Keeper) else { return };
         let idle = keeper.0.wrote.get() + IDLE;
-        let now = keeper.now();
+        let (now, rests) = (keeper.now(), keeper.0.rests.get());
         let background = keeper.0.background.borrow().next();
-        let first =
-            [keeper.0.wake.get(), background, (idle > now).then_some(idle)].into_iter().flatten().min();
+        let first = [keeper.0.wake.get(), background, (!rests).then_some(idle)].into_iter().flatten().min();
         let wait = first.map_or(IDLE, |at| at.saturating_sub(now)).max(Duration::from_millis(1));
         // Nothing is missed in between: what is rung before it is waited for is kept.
         let _ = tokio::time::timeout(wait, keeper.0.rearm.notified()).await;
         let now = keeper.now();
         if keeper.0.wake.get().is_some_and(|at| at <= now) {
             keeper.feed(Input::Woke);
-        } else if now >= idle && !keeper.0.committing.get() {
+        } else if now >= idle && !rests && !keeper.0.committing.get() {
             keeper.feed(Input::Idle);
         } else {
             keeper.start_ready();
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -53,6 +53,8 @@
 pub enum Script {
     Serve,
     Silent,
+    /// It takes writes and carries none of them out.
+    Swallow,
     Error,
     ErrorAfterData,
     HalfReply,
@@ -123,7 +125,9 @@
         if r.command == cmd::WRITE {
             let mut written = vec![0; r.length as usize];
             s.read_exact(&mut written).await?;
-            data.borrow_mut()[from..to].copy_from_slice(&written);
+            if script.get() != Script::Swallow {
+                data.borrow_mut()[from..to].copy_from_slice(&written);
+            }
         }
         seen.borrow_mut().push(r);
         came.notify_one();
@@ -136,7 +140,7 @@
         };
         let half = from + (to - from) / 2;
         let reply = match script.get() {
-            Script::Silent => continue,
+            Script::Silent | Script::Swallow => continue,
             Script::Error => error_chunk(r.cookie, errno::IO, "", None),
             Script::ErrorAfterData if read => {
                 [part(0, from, half), error_chunk(r.cookie, errno::IO, "bad sector", Some(half as u64))]
--- a/tests/writeback.rs
+++ b/tests/writeback.rs
@@ -97,7 +97,8 @@
         let mut client = NbdClient::go(again.place().await).await;
         assert_eq!((read(&mut client, 1).await, read(&mut client, 2).await), (11, 22));
         until(|| reached(&boxed).len() == 2).await;
-        tokio::time::sleep(Duration::from_millis(600)).await;
+        // Long enough to be at rest, and to serve on from there.
+        tokio::time::sleep(Duration::from_millis(2500)).await;
         assert_eq!((read(&mut client, 1).await, read(&mut client, 2).await), (11, 22));
         assert_eq!(reached(&boxed), BTreeMap::from([(1, 1), (2, 1)]), "each once");
         // A log of other exports is refused.
@@ -111,6 +112,58 @@
     });
 }
 
+/// One whose box took nothing of it: it is in doubt, shown, held against what overlaps, and settled by hand.
+#[test]
+fn a_write_in_doubt_stays_readable_until_an_operator_settles_it() {
+    story(async {
+        let boxed = NbdBox::start(Script::Swallow, 1 << 16).await;
+        let folder = folder("doubt");
+        let text = file(boxed.address, &folder, "ask");
+        let path = folder.with_extension("json");
+        std::fs::write(&path, &text).unwrap();
+        let operate = |words: &[&str]| {
+            let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_shaletack"));
+            let output = command.arg("writeback").args(words).arg("--operator").arg(&path).output().unwrap();
+            let both = [output.stdout, output.stderr].concat();
+            (output.status.success(), String::from_utf8(both).unwrap())
+        };
+        assert!(operate(&["list"]).1.contains("there is no log"));
+        let mut first = Process::start("doubt.json", &text);
+        let mut client = NbdClient::go(first.place().await).await;
+        assert_eq!(write(&mut client, 1, 11, flag::FUA).await, 0);
+        until(|| boxed.count(cmd::WRITE) == 1).await;
+        assert!(operate(&["list"]).1.contains("another process has this log"));
+        first.0.kill().unwrap();
+        drop(first);
+        boxed.script.set(Script::Serve);
+        let mut again = Process::start("doubt.json", &text);
+        let mut client = NbdClient::go(again.place().await).await;
+        again.says("can't be settled without an operator").await;
+        assert_eq!(read(&mut client, 1).await, 11);
+        assert_eq!(
+            write(&mut client, 1, 12, flag::FUA).await,
+            0,
+            "it waits behind, and is taken all the same"
+        );
+        assert_eq!(read(&mut client, 1).await, 12);
+        assert_eq!(boxed.count(cmd::WRITE), 1);
+        again.0.kill().unwrap();
+        drop(again);
+        let (_, listed) = operate(&["list"]);
+        assert!(
+            listed.starts_with("1 export=serra from=512 length=512 shard=0 at=512 may_have_run=true\n2 "),
+            "{listed}"
+        );
+        assert!(!operate(&["settle", "2", "drop"]).0, "it was never sent");
+        assert!(!operate(&["settle", "9", "drop"]).0 && !operate(&["settle", "x", "drop"]).0);
+        assert_eq!(operate(&["settle", "1", "drop"]), (true, String::new()));
+        let mut last = Process::start("doubt.json", &text);
+        let mut client = NbdClient::go(last.place().await).await;
+        until(|| boxed.count(cmd::WRITE) == 2).await;
+        assert_eq!(read(&mut client, 1).await, 12);
+    });
+}
+
 /// Killed again and again while clients write: what was acknowledged with FUA is there each time, and no write
 /// reaches the box twice.
 #[test]
