Test that an intent never stands before an owed end

A request was put together twice in the peers' stories.

Change: a story in which the log has room for an intent but not yet for the end that must precede it; Node::ask_over.

--- a/crates/core/tests/peers.rs
+++ b/crates/core/tests/peers.rs
@@ -119,10 +119,15 @@
     }
 
     fn ask(&mut self) {
+        self.ask_over(1.0);
+    }
+
+    /// A request of a volume that comes through so many initiators.
+    fn ask_over(&mut self, hosts: f64) {
         self.next += 1;
         let ask = Ask {
             volume: 1,
-            hosts: 1.0,
+            hosts,
             key: self.next,
             shard: Some(0),
             units: 2.0,
@@ -426,19 +431,7 @@
         if let Some(age) = told {
             node.hear("b", vec![says("b", What::Demand(1, 38_000), None, age)]);
         }
-        for _ in 0..30 {
-            node.next += 1;
-            let ask = Ask {
-                volume: 1,
-                hosts: 2.0,
-                key: node.next,
-                shard: Some(0),
-                units: 2.0,
-                patience: 1200 * MS,
-                ..Ask::default()
-            };
-            node.feed(Input::Arrived(node.next, ask));
-        }
+        (0..30).for_each(|_| node.ask_over(2.0));
         node.pass(500 * MS, served);
         node.sent.len()
     };
--- a/crates/writeback/tests/crashes.rs
+++ b/crates/writeback/tests/crashes.rs
@@ -380,3 +380,32 @@
     let later = S + Duration::from_millis(100);
     assert!(buffer.step(later, Input::Woke).contains(&Effect::Ready(2)));
 }
+
+/// The end of a write that the log had no room for yet must stand before the intent of what waited for it: a
+/// restart in between would take the first for unsettled, and could send it behind the second.
+#[test]
+fn an_intent_never_stands_before_an_end_that_is_owed() {
+    let log = LogConfig { segment: 8 * BLOCK, most: 16 * BLOCK, reserved: 4 * BLOCK };
+    let mut buffer = Buffer::new(IDENTITY, Config { log, ..config(Unsettled::Ask) });
+    for n in 1..=12u64 {
+        // The second overlaps the first in part; all others lie alone.
+        let from = if n == 2 { 2000 } else { n * 8000 - 8000 };
+        let piece = NewPiece { from, shard: 0, at: from, data: vec![1; 3900].into() };
+        let write = Input::Write { token: n, export: 1, pieces: vec![piece], fua: false };
+        assert!(buffer.step(S, write).iter().any(|e| matches!(e, Effect::Commit(_))));
+        buffer.step(S, Input::Committed(true));
+    }
+    buffer.step(S, Input::Start(1));
+    assert!(buffer.step(S, Input::Committed(true)).contains(&Effect::Send(1)));
+    // One intent on its way, two that wait for it: the log is full to its last block.
+    [3, 4, 5].into_iter().for_each(|id| drop(buffer.step(S, Input::Start(id))));
+    assert!(buffer.step(S, Input::Ended(1, Proof::Ran)).contains(&Effect::Ready(2)));
+    // The two share a block, so that there is room for one record again.
+    buffer.step(S, Input::Committed(true));
+    buffer.step(S, Input::Start(2));
+    assert_eq!(buffer.stage(2), Some(Stage::Durable), "the end of the first comes first");
+    buffer.step(S, Input::Committed(true));
+    buffer.step(S, Input::Committed(true));
+    let again = buffer.step(S + Duration::from_millis(100), Input::Woke);
+    assert!(again.contains(&Effect::Ready(2)));
+}
