Keep a cold box busy under thin traffic: an answer's place lasts a fall window

At faults lay turn_room and judge in choice.rs: with 100 hosts and 9 to 13 units of cold_bears there are 3 turns of 1.1 s, each of 3 hosts, so a given host gets one in 36 s; and what an answer earned ran out after 0.6 s, while a host asks a given box 1.4 times a second.

Now what an answer earns lasts the fall window. What is sent in a window is then at most the turns, what was served in it and what was served in the one before: 2 of the 3 parts that the rule allows, plus cold_bears. An answer after the shortest aim earns nothing, so that chains end where the box has more than it can do. Turns go to twice as many hosts of half as much, since a host has one or two requests waiting, not three.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -526,10 +526,10 @@
     fn judge(&mut self, id: NodeId, a: &Attempt) {
         let (now, aim, in_turns) = (self.now, self.set.shortest_aim(), self.in_turns());
         let Some(node) = self.nodes.get_mut(&id) else { return };
-        // What a cold node has done it can do again: the next may follow at once, whoever's turn it is.
-        if a.ending == Ending::Served && in_turns {
+        // What a cold node has done in time it can do again within a fall window, whoever's turn it is.
+        if a.ending == Ending::Served && in_turns && nanos(a.took) <= aim {
             node.relays = if node.relay_until >= now { node.relays + 1 } else { 1 };
-            node.relay_until = now + self.set.rules.tip_after / 5;
+            node.relay_until = now + self.set.rules.tip_after;
         }
         if let Some(ms) = a.load.service_ms.filter(|ms| *ms > 0.0) {
             node.service = ms * 1e6;
@@ -930,7 +930,7 @@
         // Hosts that want nothing of this node leave their turns unused: others of this host's own
         // thrift, by how many shards it was asked for of late, may share each.
         let shared = grown / self.spread();
-        let at_once = ((shared / 2.0) as u64).clamp(1, hosts);
+        let at_once = (shared as u64).clamp(1, hosts);
         let budget = bears / turns * (shared / at_once as f64).min(2.0);
         let first = u64::from(self.set.rank) + scramble(u64::from(id)) % hosts;
         let mine = |turn: u64| (first + turn % hosts * self.stride) % hosts < at_once;
