Deal a cold box's budget over the hosts that want it, by what warm boxes were seen to do

And of 100 hosts some 15 are asked for a given shard.

Now the budget is the larger of the stated units and the part that the rule allows of a warm box's pace, less a third. The pace is the median of units over round trip of answers of warm boxes: queueing makes it too low, never too high, and it starts below what any box does. It is dealt over the hosts that want the box, if all are asked for as many shards as this one; right after a start, when few were asked for yet, that is scaled up to the whole span. Where a part holds no largest request the third is left to those that were answered. Turns go by the stated figure alone, since they must be the same at all hosts. Small fleets deal out even parts as before.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -64,6 +64,7 @@
     armed: Option<Duration>,
     next: Duration,
     acts: Vec<Action>,
+    pace: f64, // Units a second of the median answer of warm nodes; at first less than any does.
     part: f64, // Of every budget, where another process of this host has the rest.
     said: hearsay::Said,
 }
@@ -74,6 +75,7 @@
         let stride = stride(u64::from(set.hosts.max(1)));
         let mut host = Scheduler { set, seed, now, stride, part: 1.0, ..Scheduler::default() };
         (host.started, host.lifted_at) = (now, now);
+        host.pace = host.set.unit_mean;
         // All hosts may start at once: the list's service is not asked by all in the same instant.
         let span = (host.set.hosts * SECOND / 50).min(host.set.rules.ask_within / 4);
         host.ask_at = host.set.list_on_request.then_some(now + host.random_span(span));
@@ -427,7 +429,7 @@
         let req = job.req.clone();
         self.rest_key(&req, a.ending);
         self.settle_out(node_id, a);
-        self.judge(node_id, a);
+        self.judge(node_id, a, req.units);
         self.count_overtaken(node_id, a, sent);
         self.hear_meter(req.volume, a, req.units);
         if a.over {
@@ -523,11 +525,12 @@
     }
 
     /// Health: the window halves on what went wrong or late, and grows per round trip otherwise.
-    fn judge(&mut self, id: NodeId, a: &Attempt) {
-        let (now, aim, in_turns) = (self.now, self.set.shortest_aim(), self.in_turns());
+    fn judge(&mut self, id: NodeId, a: &Attempt, units: f64) {
+        let (now, aim, warm_up) = (self.now, self.set.shortest_aim(), self.set.rules.warm_up);
+        let thin = self.bears() / self.rivals() < self.set.units_top;
         let Some(node) = self.nodes.get_mut(&id) else { return };
         // What a cold node has done in time it can do again within a fall window, whoever's turn it is.
-        if a.ending == Ending::Served && in_turns && nanos(a.took) <= aim {
+        if a.ending == Ending::Served && thin && nanos(a.took) <= aim {
             node.relays = if node.relay_until >= now { node.relays + 1 } else { 1 };
             node.relay_until = now + self.set.rules.tip_after;
         }
@@ -539,6 +542,9 @@
                 let lag = nanos(a.took);
                 let news = 1.0 - (-seconds(now - node.seen_at) / seconds(LEASE)).exp();
                 node.lag += if node.lag > 0.0 { news.max(0.2) * (lag - node.lag) } else { lag };
+                if node.born.is_none_or(|born| now >= born + warm_up) {
+                    self.pace *= if units * 1e9 > self.pace * lag { 1.1 } else { 1.0 / 1.1 };
+                }
                 (node.seen_at, node.fails, node.unheard) = (now, 0, 0);
                 // Connections may break under a process that lives on: what it answers at once, or was
                 // sent before the break, tells that it did not restart.
@@ -772,12 +778,8 @@
 
     /// What a unit of this class costs for its worth, against the class worth most.
     fn dearness(&self, class: u16) -> f64 {
-        let (most, own) = (self.set.top_value().max(1e-6), self.set.class(class).value);
-        if own > 0.0 {
-            most / own
-        } else {
-            1.0
-        }
+        let own = Some(self.set.class(class).value).filter(|own| *own > 0.0);
+        own.map_or(1.0, |own| self.set.top_value().max(1e-6) / own)
     }
 
     /// A keyed request that may have run goes only where its repeat is dropped.
@@ -869,67 +871,72 @@
     }
 
     /// Units that a node may be sent now. All hosts together must not push a cold node over, with no
-    /// agreement: what it bears is dealt out in even parts. Where those are too small, what it does itself
-    /// is left to those it has answered, one request each, and the rest is dealt out in turns.
+    /// agreement: what it bears is dealt out in even parts. Where those hold no largest request, what it does
+    /// itself is left to those it has answered, one request each, and where they hold hardly one, in turns.
     fn room(&mut self, id: NodeId) -> f64 {
         let Some(node) = self.nodes.get(&id) else { return 0.0 };
-        let (rules, bears) = (&self.set.rules, self.set.cold_bears * self.part);
-        let age = node.born.map_or(FOREVER, |born| self.now.saturating_sub(born));
-        let follows = node.relays > 0 && node.relay_until >= self.now;
-        if follows || age >= rules.warm_up || rules.start_capacity <= 0.0 || bears <= 0.0 {
+        let (now, rules) = (self.now, &self.set.rules);
+        let age = node.born.map_or(FOREVER, |born| now.saturating_sub(born));
+        let follows = node.relays > 0 && node.relay_until >= now;
+        let stated = rules.start_capacity > 0.0 && self.set.cold_bears * self.part > 0.0;
+        if follows || age >= rules.warm_up || !stated {
             return f64::INFINITY;
         }
-        let grown = self.grown(age);
-        if self.in_turns() {
-            self.turn_room(id, bears * (1.0 - 1.0 / rules.overload.max(1.5)), grown)
+        let (bears, grown) = (self.bears(), self.grown(age));
+        let even = bears / self.rivals();
+        if even < self.set.unit_mean / 2.0 {
+            self.turn_room(id, grown)
         } else {
-            self.part_room(id, bears * grown)
+            self.part_room(id, even * grown)
         }
     }
 
-    /// An even part of what a cold node bears is too small to send anything.
-    fn in_turns(&self) -> bool {
-        self.set.cold_bears / f64::from(self.set.hosts.max(1)) < self.set.unit_mean / 2.0
+    /// Units that a node bears within a fall window just after its start, from all hosts: what is stated, or
+    /// what its part of a warm node's work allows, as far as this host has seen that.
+    fn bears(&self) -> f64 {
+        let (rules, sure) = (&self.set.rules, 1.0 - 1.0 / self.set.rules.overload.max(1.5));
+        let seen = self.pace * rules.start_capacity * rules.overload * seconds(rules.tip_after) * sure;
+        let all = self.set.cold_bears.max(seen) * self.part;
+        all * if all / self.rivals() < self.set.units_top { sure } else { 1.0 }
     }
 
-    /// The part of all shards that this host was asked for of late.
-    fn spread(&self) -> f64 {
-        let since = self.now.saturating_sub(STALE_LEASES * LEASE);
-        let asked = self.asked.values().filter(|at| **at >= since).count().max(1);
-        (asked as f64 / self.nodes.values().filter(|n| n.ready).count().max(1) as f64).min(1.0)
+    /// How many hosts want something of one node, if each was asked for as many shards as this one of late.
+    fn rivals(&self) -> f64 {
+        let span = STALE_LEASES * LEASE;
+        let asked = self.asked.values().filter(|at| **at + span >= self.now).count().max(1) as f64;
+        let seen = (seconds(self.now - self.started) / seconds(span)).clamp(1e-3, 1.0);
+        let spread = asked / seen / self.nodes.values().filter(|n| n.ready).count().max(1) as f64;
+        (f64::from(self.set.hosts) * spread.min(1.0)).max(1.0)
     }
 
     /// What is left of an even part of what a cold node bears.
-    fn part_room(&mut self, id: NodeId, bears: f64) -> f64 {
+    fn part_room(&mut self, id: NodeId, part: f64) -> f64 {
         let Some(node) = self.nodes.get(&id) else { return 0.0 };
         let span = self.set.rules.tip_after;
-        let since = (self.now + NANO).saturating_sub(span);
-        let spent = node.sent.sum(since);
+        let spent = node.sent.sum((self.now + NANO).saturating_sub(span));
         // A reborn host may have used its part in its last life.
         let reborn = self.now < self.started + span && self.started >= node.born.unwrap_or_default();
-        let free_at = node.sent.first().map_or(self.now + SECOND / 10, |at| at + span);
-        self.wake_by(free_at);
+        self.wake_by(node.sent.first().map_or(self.now + SECOND / 10, |at| at + span));
         if reborn {
             0.0
         } else {
-            bears / f64::from(self.set.hosts.max(1)) - spent
+            part - spent
         }
     }
 
     /// What is left of this host's turn at a cold node, by the clock: no fall window meets more turns than
     /// the node bears.
-    fn turn_room(&mut self, id: NodeId, bears: f64, grown: f64) -> f64 {
+    fn turn_room(&mut self, id: NodeId, grown: f64) -> f64 {
         let Some(node) = self.nodes.get(&id) else { return 0.0 };
-        let rules = &self.set.rules;
-        let hosts = u64::from(self.set.hosts.max(1));
+        let (rules, hosts) = (&self.set.rules, u64::from(self.set.hosts.max(1)));
+        let bears = self.set.cold_bears * self.part * (1.0 - 1.0 / rules.overload.max(1.5));
         let turns = (bears / self.set.unit_mean.ceil().max(1.0)).floor().max(1.0);
         let open = rules.tip_after / 10;
         let span = ((nanos(rules.tip_after + open) / turns) as u64).max(1);
         let start = |turn: u64| Duration::from_nanos(turn.saturating_mul(span));
         // As the node warms a turn grows to a largest request, then more hosts share it.
-        // Hosts that want nothing of this node leave their turns unused: others of this host's own
-        // thrift, by how many shards it was asked for of late, may share each.
-        let shared = grown / self.spread();
+        // Hosts that want nothing of this node leave their turns unused: its rivals share them.
+        let shared = grown * hosts as f64 / self.rivals();
         let at_once = (shared as u64).clamp(1, hosts);
         let budget = bears / turns * (shared / at_once as f64).min(2.0);
         let first = u64::from(self.set.rank) + scramble(u64::from(id)) % hosts;
--- a/crates/core/src/choice/hearsay.rs
+++ b/crates/core/src/choice/hearsay.rs
@@ -46,8 +46,7 @@
         }
         let age = node.born.map_or(rules.warm_up, |born| now.saturating_sub(born));
         let own = node.sent.sum((now + super::NANO).saturating_sub(window));
-        let sure = if self.in_turns() { 1.0 - 1.0 / rules.overload.max(1.5) } else { 1.0 };
-        let all = self.set.cold_bears * self.part * sure * self.grown(age);
+        let all = self.bears() * self.grown(age);
         let left = all - own - others;
         if left < room {
             self.wake_by((at + window).min(now + SECOND / 10));
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -105,6 +105,86 @@
     }
 }
 
+/// What 100 hosts, each asked ten times a second for any of 9 of 60 shards, send the cold node of one shard in 12 s.
+/// Warm nodes do 50 units a second. Most hosts are reborn after 4 s.
+fn sent_by_thin_traffic(set: &Settings) -> Vec<(Duration, f64)> {
+    let (mut draws, born) = (Draws(5), T0 + 3 * S);
+    let lines: Vec<NodeLine> = (0..60).map(|n| line(n + 1, n as u16)).collect();
+    let start = |rank: u32, now: Duration, lines: &[NodeLine]| {
+        let mut host = Scheduler::new(Settings { rank, ..set.clone() }, now.as_nanos() as u64 + 7, now);
+        host.step(now, &[list(ListKind::Cached, lines.to_vec())], &mut Vec::new());
+        host
+    };
+    let mut hosts: Vec<Scheduler> = (0..100).map(|rank| start(rank, T0, &lines)).collect();
+    let mut flights: Vec<(Duration, usize, RequestId, NodeId, Duration)> = Vec::new();
+    let (mut now, mut id, mut sent, mut done) = (T0, 0, Vec::new(), born);
+    while now < born + 12 * S {
+        now += 10 * MS;
+        let mut news: Vec<Vec<Event>> = vec![vec![Event::Timer]; 100];
+        let cold = NodeLine { born, ..line(1, 0) };
+        if now == born {
+            news.iter_mut().for_each(|e| e.push(list(ListKind::Changes, vec![cold.clone()])));
+        }
+        if now == born + 4 * S {
+            let known = [&[cold], &lines[1..]].concat();
+            (0..70).for_each(|rank| hosts[rank] = start(rank as u32, now, &known));
+            flights.retain(|f| f.1 >= 70);
+        }
+        for (at, host, request, node, since) in flights.extract_if(.., |f| f.0 <= now) {
+            let Event::Attempt(answer) = outcome(request, 0, node, Ending::Served) else { continue };
+            news[host].push(Event::Attempt(Attempt { took: at - since, ..answer }));
+        }
+        for (at, host) in hosts.iter_mut().enumerate() {
+            if (now.as_millis() / 10 + at as u128).is_multiple_of(10) {
+                id += 1;
+                let shard = Some(((at as u64 * 23 + draws.below(9) * 7) % 60) as u16);
+                let ask = Request { shard, units: 1.0 + (id % 4) as f64, volume: at as u64, ..request(id) };
+                news[at].push(Event::Request(ask));
+            }
+            let mut actions = Vec::new();
+            host.step(now, &news[at], &mut actions);
+            for action in actions {
+                let Action::Send { request, node, .. } = action else { continue };
+                let units = 1.0 + (request % 4) as f64;
+                let mut ends = now + Duration::from_secs_f64(units / WARM);
+                if node == 1 && now >= born {
+                    sent.push((now, units));
+                    done = done.max(now) + Duration::from_secs_f64(units / WARM / warmth(set, now - born));
+                    ends = done;
+                }
+                flights.push((ends, at, request, node, now));
+            }
+        }
+    }
+    sent
+}
+
+/// Units a second that a warm node does.
+const WARM: f64 = 50.0;
+
+/// The part of it that a cold one of this age does at least.
+fn warmth(set: &Settings, age: Duration) -> f64 {
+    let start = set.rules.start_capacity;
+    start + (1.0 - start) * nanos(age) / nanos(set.rules.warm_up)
+}
+
+/// Found on join+vast: of 100 hosts about 15 want something of one node, and the stated units dealt out over 100
+/// left it idle. The part of what warm nodes were seen to do is dealt out over those that want it.
+#[test]
+fn thin_traffic_keeps_a_cold_node_busy_and_never_pushes_it_over() {
+    let set = Settings { hosts: 100, cold_bears: 12.0, ..settings() };
+    let (sent, rules, born) = (sent_by_thin_traffic(&set), &set.rules, T0 + 3 * S);
+    for (from, _) in &sent {
+        let within = |s: &&(Duration, f64)| s.0 >= *from && s.0 < *from + rules.tip_after;
+        let units: f64 = sent.iter().filter(within).map(|s| s.1).sum();
+        let most = rules.overload * WARM * warmth(&set, *from - born) * rules.tip_after.as_secs_f64();
+        assert!(units <= most, "{units} of {most} units from {:?} on", *from - born);
+    }
+    let able: f64 = (0..120).map(|t| 0.1 * WARM * warmth(&set, ms(100 * t))).sum();
+    let units: f64 = sent.iter().map(|s| s.1).sum();
+    assert!(units > 0.75 * able, "{units} units of the {able} that it could do");
+}
+
 type Letter = (Duration, u16, u16, Vec<u8>);
 
 /// Six hosts of one limited volume, asked every 5 ms, at first the first `busy` of them; what they sent.
