Pass over bad entries of a list, and turn down contradictory fleet figures by name

Need: with a larger fleet its figures decide what each initiator may send, and one bad entry of a list must not cost the others. Seen: `balancers` of 0, -3 and 2.5 were read as 1, 1 and 2, a `rank` not below it was taken, and one entry with an unknown phase made the whole list unreadable, so that the watch was broken off and opened again for as long as the entry stood (members::from; net/watch.rs).

`balancers` has to be there, whole and 1 to 65,536, `rank` whole and below it, at start, at SIGHUP and in the operator's file; the fault names the key. On the platform `rank` is needed where there is more than one. A list's bad entry is named in the log and passed over; of entries with the same id the last counts. A box that drains and its successor on the same shard both count, and so do 5,000 entries.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -3,6 +3,7 @@
 use crate::interface::{ListKind, Readiness};
 use crate::json::{self, Fault, Look};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -34,17 +35,28 @@
     pub entries: Vec<Member>,
 }
 
-/// Reads one report; the text is used as a workplace.
-pub fn read(text: &mut [u8]) -> Result<Members, Fault> {
+/// Reads one report, and what is wrong with entries that are passed over; the text is used as a workplace.
+pub fn read(text: &mut [u8]) -> Result<(Members, Vec<Fault>), Fault> {
     let value = json::parse(text)?;
     from(Look::object(&value, "the list")?)
 }
 
-/// A report from an object already read.
-pub fn from(list: Look) -> Result<Members, Fault> {
+/// A report from an object already read. One bad entry must not keep the others from counting: it is passed over
+/// and named. Of entries with the same id the last counts.
+pub fn from(list: Look) -> Result<(Members, Vec<Fault>), Fault> {
     let kind = if list.at("complete").yes()? { ListKind::Full } else { ListKind::Changes };
-    let entries = list.at("members").list()?.into_iter().map(member).collect::<Result<_, _>>()?;
-    Ok(Members { revision: list.at("revision").whole()?, kind, entries })
+    let (mut entries, mut faults): (BTreeMap<String, Member>, _) = (BTreeMap::new(), Vec::new());
+    for entry in list.at("members").list()? {
+        match member(entry) {
+            Err(fault) => faults.push(fault),
+            Ok(member) => {
+                let again = entries.insert(member.id.clone(), member);
+                faults.extend(again.map(|m| format!("member {} is listed twice: the last counts", m.id)));
+            }
+        }
+    }
+    let entries = entries.into_values().collect();
+    Ok((Members { revision: list.at("revision").whole()?, kind, entries }, faults))
 }
 
 /// One entry.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -3,6 +3,9 @@
 use crate::interface::*;
 use crate::json::{self, Fault, Look};
 
+/// The most hosts a fleet may have.
+const MOST_HOSTS: f64 = 65_536.0;
+
 /// Reads the settings; the text is used as a workplace.
 pub fn read(text: &mut [u8]) -> Result<Settings, Fault> {
     let value = json::parse(text).map_err(|e| format!("the settings are {e}"))?;
@@ -13,9 +16,10 @@
 pub fn from(top: Look) -> Result<Settings, Fault> {
     let (limits, domain) = (top.at("limits"), top.at("domain"));
     let tries = limits.at("try-limit").whole()? as u32;
+    let (hosts, rank) = fleet(top)?;
     Ok(Settings {
-        hosts: top.at("balancers").whole()?.clamp(1, 1 << 16) as u32,
-        rank: top.at("rank").whole()? as u32,
+        hosts,
+        rank,
         zone: top.at("my-zone").whole()? as u16,
         zones: top.at("zones").texts()?,
         step: top.at("step").span()?,
@@ -42,6 +46,22 @@
     })
 }
 
+/// How many hosts there are and which this one is; 1 and 0 where nothing is said.
+fn fleet(top: Look) -> Result<(u32, u32), Fault> {
+    let count = |key: &str, unless: f64| {
+        let n = top.at(key).number().map_err(|why| format!("{key}: {why}"))?.unwrap_or(unless);
+        let whole = n.fract() == 0.0 && (0.0..=MOST_HOSTS).contains(&n);
+        whole
+            .then_some(n as u32)
+            .ok_or_else(|| format!("{key}: {n} is not a whole number up to {MOST_HOSTS}"))
+    };
+    match (count("balancers", 1.0)?, count("rank", 0.0)?) {
+        (0, _) => Err("balancers: there is at least one, this one".into()),
+        (hosts, rank) if rank >= hosts => Err(format!("rank: {rank} is not below balancers, {hosts}")),
+        fleet => Ok(fleet),
+    }
+}
+
 fn class(lane: Look, tries: u32) -> Result<Class, Fault> {
     Ok(Class {
         name: lane.at("name").text()?.into(),
--- /dev/null
+++ b/crates/core/tests/members.rs
@@ -0,0 +1,42 @@
+//! Lists with faults, and long ones.
+
+use shaletack_core::interface::Readiness;
+use shaletack_core::members::read;
+
+fn entry(id: &str, cell: &str, phase: &str) -> String {
+    format!(r#"{{"id":"{id}","host_port":"10.1.0.1:5000","cell":{cell},"phase":"{phase}","up_since_ms":0}}"#)
+}
+
+fn list(entries: &[String]) -> Vec<u8> {
+    format!(r#"{{"revision":4,"complete":true,"members":[{}]}}"#, entries.join(",")).into_bytes()
+}
+
+/// One bad entry made the whole list unreadable, and the watch was broken off and opened again for as long as it stood.
+#[test]
+fn a_bad_entry_is_named_and_passed_over_and_the_rest_counts() {
+    let entries = [
+        entry("s-1", "1", "up"),
+        entry("s-2", "2", "asleep"),
+        entry("s-3", "\"three\"", "up"),
+        entry("", "4", "up"),
+        "7".to_string(),
+        entry("s-5", "5", "up"),
+        entry("s-5", "5", "draining"),
+        // A box that drains and the one that takes its place hold the same shard.
+        entry("s-6", "5", "up"),
+    ];
+    let (members, faults) = read(&mut list(&entries)).unwrap();
+    let ids: Vec<&str> = members.entries.iter().map(|m| m.id.as_str()).collect();
+    assert_eq!(ids, ["s-1", "s-5", "s-6"]);
+    assert_eq!(members.entries[1].readiness, Readiness::Draining, "the last entry counts");
+    assert_eq!(faults.len(), 5, "{faults:?}");
+    assert!(faults[0].contains("s-2") && faults[1].contains("s-3"), "{faults:?}");
+}
+
+#[test]
+fn a_list_of_5000_counts_whole() {
+    let entries: Vec<String> =
+        (0..5000).map(|n| entry(&format!("s-{n}"), &(n % 60).to_string(), "up")).collect();
+    let (members, faults) = read(&mut list(&entries)).unwrap();
+    assert_eq!((members.entries.len(), faults.len()), (5000, 0));
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -25,6 +25,8 @@
     pub memory_mb: u64,
     /// The list of disk boxes as last had, perhaps old.
     pub known: Members,
+    /// What is wrong with entries of that list that do not count.
+    pub passed_over: Vec<Fault>,
     /// The scheduler's settings.
     pub settings: Settings,
     /// The file's text, as read.
@@ -51,6 +53,12 @@
         return Err(format!("there is no key '{key}'"));
     }
     let mut settings = settings::from(top.at("settings"))?;
+    if !top.at("settings").at("balancers").is_there() {
+        return Err("settings.balancers: the number of initiators is missing".into());
+    }
+    if settings.hosts > 1 && !top.at("settings").at("rank").is_there() {
+        return Err(format!("settings.rank: which of {} initiators this is, is missing", settings.hosts));
+    }
     if settings.classes.is_empty() || settings.plans.is_empty() {
         return Err("the settings name no classes or no plans".into());
     }
@@ -60,7 +68,7 @@
     if settings.try_limit == 0 {
         return Err("settings.limits.try-limit: it has to be a number above 0".into());
     }
-    let mut known = members::from(top.at("known"))?;
+    let (mut known, passed_over) = members::from(top.at("known"))?;
     known.kind = ListKind::Cached;
     let sockets = top.at("limits").at("sockets").whole()? as usize;
     if sockets > 0 && sockets < FEWEST_SOCKETS {
@@ -83,6 +91,7 @@
         memory_mb: top.at("limits").at("memory_mb").whole()?,
         sockets,
         known,
+        passed_over,
         settings,
         text: whole,
     })
--- a/src/main.rs
+++ b/src/main.rs
@@ -328,10 +328,22 @@
     held: Option<std::net::TcpListener>,
     heir: Option<(Will, BufReader<UnixStream>)>,
 ) -> Result<(), String> {
-    let Config { name, listen, discovery, management, seed, sockets, memory_mb, known, settings, text } =
-        config;
+    let Config {
+        name,
+        listen,
+        discovery,
+        management,
+        seed,
+        sockets,
+        memory_mb,
+        known,
+        passed_over,
+        settings,
+        text,
+    } = config;
     let host = start(settings.clone(), seed, None);
     info!(name, boxes = known.entries.len(), revision = known.revision, "starts");
+    passed_over.iter().for_each(|why| warn!(%why, "an entry of the list is passed over"));
     host.feed(Input::List(known));
     let link = Link::new(host.clone(), handover::path(&name));
     let (traces, ready) = (Rc::new(RefCell::new(Traces::default())), Rc::new(Cell::new(false)));
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -110,7 +110,8 @@
             continue;
         }
         match members::read(&mut line) {
-            Ok(members) => {
+            Ok((members, faults)) => {
+                faults.iter().for_each(|why| warn!(%why, "an entry of the list is passed over"));
                 drop(replaced.take());
                 revision.set(members.revision);
                 host.feed(Input::List(members));
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -29,7 +29,7 @@
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
         "known":{{"revision":41,"complete":true,"members":[
             {{"id":"s-5be2a07c","host_port":"127.0.0.1:9","locality":"a","cell":3,"phase":"up","up_since_ms":0}}]}},
-        "settings":{{"lanes":[{{"name":"leitura","deadline":1200000000,"aim":150000000,"idempotency":"idempotent"}}],
+        "settings":{{"balancers":1,"lanes":[{{"name":"leitura","deadline":1200000000,"aim":150000000,"idempotency":"idempotent"}}],
             "plans":[{{"name":"basico"}}],"limits":{{"try-limit":4}}}}}}"#
     )
 }
@@ -80,11 +80,28 @@
         vec!["check-config".into(), "--operator".into(), wrong("cell.json", "\"cell\": 0", "\"cell\": 9")],
         vec!["serve".into(), "--operator".into(), wrong("plan.json", "\"limit\": 200", "\"limit\": -1")],
     ];
-    for args in cases {
+    let good = config("127.0.0.1:0", "1");
+    let fleets = [
+        "",
+        "\"balancers\":0",
+        "\"balancers\":-3",
+        "\"balancers\":2.5",
+        "\"balancers\":\"many\"",
+        "\"balancers\":3,\"rank\":3",
+        "\"balancers\":3,\"rank\":-1",
+        "\"balancers\":70000",
+        "\"balancers\":3",
+    ];
+    let told = |n: usize| good.replacen("\"balancers\":1", fleets[n], 1).replace("{,", "{");
+    let named = |n: usize| vec!["check-config".into(), file(&format!("fleet{n}.json"), &told(n))];
+    let told_fleet = (0..fleets.len()).map(named);
+    for args in cases.into_iter().chain(told_fleet) {
         let output = run(&args.iter().map(String::as_str).collect::<Vec<_>>());
         let said = String::from_utf8_lossy(&output.stderr);
         assert!(!output.status.success(), "{args:?}");
         assert_eq!(said.lines().count(), 1, "{args:?}: {said}");
+        let fleet = args.iter().any(|a| a.contains("fleet"));
+        assert!(!fleet || said.contains("balancers: ") || said.contains("rank: "), "{args:?}: {said}");
     }
 }
 
