--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -59,24 +59,25 @@
     Ok((Members { revision: list.at("revision").whole()?, kind, entries }, faults))
 }
 
-/// One entry.
+/// One entry; a fault names it.
 pub fn member(entry: Look) -> Result<Member, Fault> {
     let id = entry.at("id").text()?;
     if id.is_empty() {
         return Err("a member of the list has no id".into());
     }
+    with_id(entry, id).map_err(|why| format!("member {id}: {why}"))
+}
+
+fn with_id(entry: Look, id: &str) -> Result<Member, Fault> {
     let readiness = match entry.at("phase").text()? {
         "up" => Readiness::Ready,
         "draining" => Readiness::Draining,
         "removed" => Readiness::Gone,
-        other => return Err(format!("member {id}: '{other}' is not a phase")),
+        other => return Err(format!("'{other}' is not a phase")),
     };
     let address = match entry.at("host_port").text()? {
         "" if readiness == Readiness::Gone => None,
-        text => match text.parse() {
-            Ok(address) => Some(address),
-            Err(_) => return Err(format!("member {id}: '{text}' is not an address and port")),
-        },
+        text => Some(text.parse().map_err(|_| format!("'{text}' is not an address and port"))?),
     };
     let up_since = entry.at("up_since_ms").whole()?;
     Ok(Member {
