Soak test on the shared test settings, not a copy of the broker test's

The soak now takes tests/common's settings for one initiator and asks for the plan without a limit; its keyed class now also holds keys for a while, so the keys' memory is part of what is measured.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -8,16 +8,18 @@
 use cap::Cap;
 use shaletack::broker::*;
 use shaletack::ending::End;
-use shaletack::interface::{Class, Effect as Repeat, ListKind, Plan, Readiness, RequestId, Settings};
+use shaletack::interface::{ListKind, Readiness, RequestId, Settings};
 use shaletack::members::{Member, Members};
 use std::alloc::System;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+mod common;
+use common::{settings, MS};
+
 #[global_allocator]
 static ALLOCATED: Cap<System> = Cap::new(System, usize::MAX);
 
-const MS: Duration = Duration::from_millis(1);
 const UNIX: Duration = Duration::from_secs(1_000_000);
 const SHARDS: u16 = 8;
 
@@ -36,18 +38,8 @@
 impl Day {
     fn new() -> Self {
         let start = Instant::now();
-        let class =
-            |effect| Class { aim: 100 * MS, deadline: 1000 * MS, value: 1.0, effect, ..Class::default() };
-        let set = Settings {
-            hosts: 1,
-            classes: vec![class(Repeat::Safe), class(Repeat::Unsafe)],
-            plans: vec![Plan { weight: 1.0, reserve: 50.0, ..Plan::default() }],
-            try_limit: 2,
-            unit_mean: 1.0,
-            units_top: 4.0,
-            cancels: true,
-            ..Settings::default()
-        };
+        // One initiator, whose volumes have no limit (plan 1).
+        let set = Settings { hosts: 1, cancels: true, ..settings() };
         let broker = Broker::new(set, 1, Clock::new(start, UNIX), start);
         let boxes = (0..u64::from(SHARDS)).collect();
         let mut day = Day {
@@ -124,6 +116,7 @@
                 let ask = Ask {
                     class: (id % 2) as u16,
                     volume: id / 100,
+                    plan: 1,
                     hosts: 1.0,
                     key: id,
                     shard: Some((id % u64::from(SHARDS)) as u16),
