--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -4,7 +4,7 @@
 use crate::choice::Scheduler;
 use crate::ending::End;
 use crate::hearsay::{Listed, Peers};
-use crate::interface::*;
+use crate::interface::{Effect as Repeat, *};
 use crate::members::{Member, Members};
 use crate::notice::Notice;
 use crate::state::Learnt;
@@ -550,9 +550,11 @@
     }
 
     /// A class by the name that clients use. One that newer settings dropped is still found for a while:
-    /// clients learn of new settings later than this initiator.
-    pub fn class(&self, name: &str, now: Instant) -> Option<u16> {
-        let classes = || self.settings.classes.iter().enumerate().filter(|(_, c)| c.name == name);
+    /// clients learn of new settings later than this initiator. A request that carries no key is none of a
+    /// keyed class.
+    pub fn class(&self, name: &str, has_key: bool, now: Instant) -> Option<u16> {
+        let fits = |c: &Class| c.name == name && (has_key || c.effect != Repeat::Keyed);
+        let classes = || self.settings.classes.iter().enumerate().filter(|(_, c)| fits(c));
         let current = classes().find(|(_, c)| !c.retired);
         let fresh = self.retuned.is_some_and(|at| self.clock.time(now) < at + OLD_CLASSES);
         current.or_else(|| classes().next_back().filter(|_| fresh)).map(|(number, _)| number as u16)
--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -7,6 +7,7 @@
 use crate::runtime::host::{Errand, Tell};
 use actix_http::body::{BodyStream, SizedStream};
 use actix_http::error::ParseError;
+use actix_http::header::HeaderValue;
 use actix_http::{Method, StatusCode};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError as TcpError, ConnectInfo, Connection};
@@ -41,6 +42,8 @@
 const CLIENT_RESTS: Duration = Duration::from_millis(2500);
 /// Before a connection is used again: what a box sends behind an answer has come by then, and shows.
 const SETTLES: Duration = Duration::from_millis(2);
+/// By what its value names, boxes drop the repeat of a keyed request.
+pub const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
 /// Above this no box tells the truth about use, in parts of a plan's rate, or about units served elsewhere.
 const USED_MOST: f64 = 1e4;
 const ELSEWHERE_MOST: f64 = 1e6;
@@ -119,6 +122,8 @@
     pub target: String,
     /// `X-Trace-Id`, as it came.
     pub trace: String,
+    /// `Idempotency-Key`, as it came: boxes drop a repeat by it.
+    pub key: Option<HeaderValue>,
     /// The body.
     pub body: Carried,
     /// Of a large answer, what is to be passed on as it comes.
@@ -232,11 +237,14 @@
 impl Errand for Passed {
     fn attempt(&self, to: SocketAddr, wait: Duration, tell: Tell) -> LocalBoxFuture<'static, Reply> {
         let boxes = self.boxes.clone();
-        let request = boxes
+        let mut request = boxes
             .client(to)
             .request(self.method.clone(), format!("http://{to}{}", self.target))
             .insert_header(("X-Trace-Id", self.trace.clone()))
             .insert_header(("X-Expires-In", format!("{:.3}", wait.as_secs_f64())));
+        if let Some(key) = &self.key {
+            request = request.insert_header((IDEMPOTENCY_KEY, key.clone()));
+        }
         let (body, rest, bare) = (self.body.clone(), self.rest.clone(), self.method == Method::HEAD);
         let tell = Rc::new(tell);
         let began = tell.clone();
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,13 +1,13 @@
 //! The platform's front: HTTP/1.1 to clients, with actix-http.
 
-use super::boxes::{Boxes, Carried, Passed, Rest, Upload, BODIES_MOST, BODY_MOST};
+use super::boxes::{Boxes, Carried, Passed, Rest, Upload, BODIES_MOST, BODY_MOST, IDEMPOTENCY_KEY};
 use super::crowd::{ClientStream, Crowd, Line};
 use crate::broker::{Answer, Ask, Broker};
 use crate::interface::VolumeId;
 use crate::runtime::gate::{Closing, Gate};
 use crate::runtime::host::{Host, Passing};
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
-use actix_http::header::HeaderMap;
+use actix_http::header::{HeaderMap, HeaderValue};
 use actix_http::{
     ConnectionType, Extensions, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
 };
@@ -24,6 +24,9 @@
 
 /// After the last byte of a closing answer a client has so long to take it.
 const LINGER: Duration = Duration::from_millis(500);
+/// The longest `Idempotency-Key`, in bytes.
+const KEY_MOST: usize = 255;
+
 /// What the front needs to serve.
 pub struct Front {
     /// The core.
@@ -157,7 +160,7 @@
         if request.method() != Method::PUT && !matches!(body, Carried::None) {
             return turned_away(&line.0, StatusCode::BAD_REQUEST);
         }
-        let Some((ask, trace)) = self.host.look(|core| understand(&request, core)) else {
+        let Some((ask, trace, key)) = self.host.look(|core| understand(&request, core)) else {
             return turned_away(&line.0, StatusCode::BAD_REQUEST);
         };
         if !self.traces.borrow_mut().take(&trace, self.host.settings().longest()) {
@@ -170,7 +173,7 @@
         };
         let (boxes, method) = (self.boxes.clone(), request.method().clone());
         let rest = Rc::new(RefCell::new(None));
-        let errand = Passed { boxes, method, target, trace: trace.clone(), body, rest: rest.clone() };
+        let errand = Passed { boxes, method, target, trace, key, body, rest: rest.clone() };
         if upload.is_some() {
             line.0.moves();
         } else {
@@ -254,9 +257,11 @@
     })))
 }
 
-/// The request in the core's terms, and its trace id; `None` where it is malformed.
-fn understand(request: &Request, core: &Broker) -> Option<(Ask, String)> {
+/// The request in the core's terms, its trace id and its key, if any; `None` where it is malformed. So is a
+/// request of a keyed class without its one key: no box could drop its repeat.
+fn understand(request: &Request, core: &Broker) -> Option<(Ask, String, Option<HeaderValue>)> {
     let headers = request.headers();
+    let key_header = repeat_key(headers)?;
     if ![Method::GET, Method::HEAD, Method::PUT].contains(request.method()) {
         return None;
     }
@@ -267,7 +272,7 @@
     let placed = |name: &str| {
         place.split(',').find_map(|part| part.trim().strip_prefix(name)?.strip_prefix('=')).map(str::trim)
     };
-    let (settings, class) = (core.settings(), core.class(class, Instant::now())?);
+    let (settings, class) = (core.settings(), core.class(class, key_header.is_some(), Instant::now())?);
     let patience = number(text(headers, "X-Expires-In")?).filter(|wait| *wait < 86400.0)?;
     // No client of the class waits longer; the scheduler would take those who do not for late repeats.
     let (patience, longest) = (Duration::from_secs_f64(patience), settings.class(class).deadline);
@@ -289,7 +294,15 @@
     };
     let id = text(headers, "X-Trace-Id")?;
     let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
-    ((1..=64).contains(&id.len()) && id.bytes().all(plain)).then(|| (ask, id.to_owned()))
+    ((1..=64).contains(&id.len()) && id.bytes().all(plain)).then(|| (ask, id.to_owned(), key_header))
+}
+
+/// The key by which boxes drop a repeat, as it came; `None`: there are several, or it is no key.
+fn repeat_key(headers: &HeaderMap) -> Option<Option<HeaderValue>> {
+    let mut all = headers.get_all(IDEMPOTENCY_KEY);
+    let Some(key) = all.next() else { return Some(None) };
+    let plain = key.to_str().is_ok_and(|text| (1..=KEY_MOST).contains(&text.trim().len()));
+    (plain && all.next().is_none()).then(|| Some(key.clone()))
 }
 
 /// Digits with or without decimals: no sign, exponent, infinity or NaN.
--- a/src/operator/records.rs
+++ b/src/operator/records.rs
@@ -343,9 +343,11 @@
     All,
     /// Those of one zone.
     Zone,
-    /// Those of one shard.
+    /// Those of one shard; the platform's word for one is `cell`.
     #[default]
     Shard,
+    /// The same.
+    Cell,
 }
 
 /// Bounds.
@@ -427,7 +429,7 @@
             group: match lane.group {
                 Dropping::All => Group::All,
                 Dropping::Zone => Group::Zone,
-                Dropping::Shard => Group::Shard,
+                Dropping::Shard | Dropping::Cell => Group::Shard,
             },
             memory: span(lane.memory_span),
             ordered: lane.keep_order,
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -92,9 +92,10 @@
         ..Settings::clone(&older)
     };
     told.at(3 * MS, Input::Settings(Box::new(newer.clone())));
-    let (start, class) = (told.start, |told: &Told, name: &str, at| told.broker.class(name, told.start + at));
+    let (start, class) =
+        (told.start, |told: &Told, name: &str, at| told.broker.class(name, false, told.start + at));
     let (new, once) = (class(&told, "new", 4 * MS).unwrap(), class(&told, "once", 4 * MS).unwrap());
-    assert!(told.broker.class("gone", start).is_none() && new != once);
+    assert!(told.broker.class("gone", false, start).is_none() && new != once);
     assert!(sends(&told.at(5 * MS, Input::Ended(1, 0, failed()))), "a read is repeated, as it came");
     told.at(6 * MS, Input::Ended(1, 1, Reply::none(End::Whole)));
     for (id, number, answer) in [(2, new, "Failed"), (3, once, "Refused")] {
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -161,11 +161,16 @@
 pub fn operator(boxes: &[(SocketAddr, u16)]) -> Operator {
     let lane = |name: &str, effect: &str| {
         format!(
-            r#"{{"name":"{name}","aim":400000000,"deadline":1500000000,"idempotency":"{effect}","value":1}}"#
+            r#"{{"name":"{name}","aim":400000000,"deadline":1500000000,"idempotency":"{effect}","group":"cell",
+                "memory-span":5000000000,"value":1}}"#
         )
     };
-    let lanes =
-        [lane("leitura", "idempotent"), lane("gravacao", "at_most_once"), lane("exportacao", "idempotent")];
+    let lanes = [
+        lane("leitura", "idempotent"),
+        lane("gravacao", "at_most_once"),
+        lane("exportacao", "idempotent"),
+        lane("keyed", "deduplicated"),
+    ];
     let members: Vec<String> = boxes
         .iter()
         .map(|(a, cell)| {
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -45,6 +45,60 @@
     });
 }
 
+/// Boxes got a keyed request without its key, and could have dropped no repeat of it.
+#[test]
+fn a_keyed_request_and_its_repeat_carry_its_key_unchanged() {
+    story(async {
+        // The first attempt of each request may have run: its box closes the connection without an answer.
+        let boxed = HttpBox::start(|count, _| match count % 2 {
+            0 => Some((Vec::new(), true)),
+            _ => Some((answer("200 OK", b"booked", 0), false)),
+        });
+        let boxed = boxed.await;
+        let (front, _, _) = http_front(&[(boxed.address, 0)]).await;
+        let with = |method: &str, class: &str, lines: &str, body: &[u8]| {
+            let request = platform_request(method, class, 0, 2, body);
+            let split = request.windows(2).position(|w| w == b"\r\n").unwrap();
+            [&request[..split], lines.as_bytes(), &request[split..]].concat()
+        };
+        let mut client = HttpClient::connect(front).await;
+        let longest = "k".repeat(255);
+        let keys = ["8e03978e-40d5-43dd-bc93-6894a57f9324", "\"a:b, c\"; p=%20", &longest];
+        let body = vec![7; 60_000];
+        for key in keys {
+            let line = format!("\r\nidempotency-KEY: {key}");
+            // A class without keys passes one on as well, on the attempt after the first too.
+            for (method, class, body) in [("PUT", "keyed", &body[..]), ("GET", "leitura", &[])] {
+                let before = boxed.seen.borrow().len();
+                assert_eq!(client.ask(&with(method, class, &line, body)).await.0, 200, "{class} {key}");
+                let seen = boxed.seen.borrow();
+                assert_eq!(seen.len(), before + 2);
+                for (_, head, got) in &seen[before..] {
+                    assert_eq!(header(head, "idempotency-key").as_deref(), Some(key));
+                    assert_eq!(header(head, "x-trace-id"), header(&seen[before].1, "x-trace-id"));
+                    assert_eq!(got, body);
+                }
+            }
+        }
+        // A large one goes as it comes, and once.
+        let large = vec![9; 300_000];
+        let line = format!("\r\nIdempotency-Key: {}", keys[0]);
+        client.ask(&with("PUT", "keyed", &line, &large)).await;
+        let (head, got) =
+            boxed.seen.borrow().last().map(|(_, head, got)| (head.clone(), got.clone())).unwrap();
+        assert_eq!((header(&head, "idempotency-key").as_deref(), got), (Some(keys[0]), large));
+        // One whose key is missing, empty, doubled, too long or unreadable is no request of its class.
+        let before = boxed.seen.borrow().len();
+        let too_long = format!("\r\nIdempotency-Key: {longest}k");
+        let doubled = "\r\nIdempotency-Key: a\r\nIdempotency-Key: a";
+        for bad in ["", "\r\nIdempotency-Key: ", doubled, &too_long, "\r\nIdempotency-Key: \u{e9}"] {
+            let mut client = HttpClient::connect(front).await;
+            assert_eq!(client.ask(&with("PUT", "keyed", bad, b"x")).await.0, 400, "{bad}");
+        }
+        assert_eq!(boxed.seen.borrow().len(), before);
+    });
+}
+
 /// awc ends a body that breaks off as if it were whole; no client may be served half of what a box has.
 #[test]
 fn half_an_answer_is_never_served_and_a_write_behind_it_is_not_repeated() {
