--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -25,12 +25,11 @@
 const REST_POWER: f64 = 2.0; // by that power of how often they do,
 const REST_TOP: f64 = 2.0; // at most so many leases, as far as the round trip is fresh.
 const POOLED: f64 = 0.5; // Part of a limit that waits at the volume's home, where hosts may talk.
-                         // The first wait after a failure, the longest.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2)); // First, longest.
 const REPEAT_COST: f64 = 0.5; // What a request costs a node that has just taken the same key.
 const RUN_ROOM: f64 = 1.0; // A run of one key may go on past the window by so many,
 const RUN_LOOK: usize = 64; // looked for among so many held.
-const UNSENT: f64 = 0.49; // One not sent in this part of its time is given up, while that is of use to know.
+const UNSENT: (f64, f64) = (0.1, 0.49); // One not sent in such a part of its time is given up.
 const OVERTAKEN: u32 = 3; // An attempt is missed once so many later ones came back before it,
 const MISSED_LAGS: (f64, f64) = (2.0, 6.0); // and it is so many round trips old; without, the second.
 
@@ -73,9 +72,8 @@
     /// A host that has just started and knows nothing of an earlier life.
     pub fn new(set: Settings, seed: u64, now: Duration) -> Self {
         let stride = stride(u64::from(set.hosts.max(1)));
-        let mut host = Scheduler { set, seed, now, stride, part: 1.0, ..Scheduler::default() };
-        (host.started, host.lifted_at) = (now, now);
-        host.pace = host.set.unit_mean;
+        let times = Scheduler { now, started: now, lifted_at: now, ..Scheduler::default() };
+        let mut host = Scheduler { pace: set.unit_mean, set, seed, stride, part: 1.0, ..times };
         // All hosts may start at once: the list's service is not asked by all in the same instant.
         let span = (host.set.hosts * SECOND / 50).min(host.set.rules.ask_within / 4);
         host.ask_at = host.set.list_on_request.then_some(now + host.random_span(span));
@@ -303,8 +301,10 @@
         let class = self.set.class(job.req.class);
         let memory = job.first_run().filter(|_| class.effect == Effect::Keyed && job.out == 0);
         let until = memory.map_or(job.due, |(_, at)| job.due.min(at.saturating_add(class.memory)));
-        // A client told late that nothing was tried for it has lost that time.
-        let unsent = job.came + span_of(nanos(job.due - job.came) * UNSENT);
+        // Work for one that waited past its aim earns little and keeps others from theirs, at half the worth
+        // in half that time; and a client told late that nothing was tried for it has lost that time.
+        let part = nanos(class.aim) / nanos(class.deadline).max(1.0) / self.dearness(job.req.class);
+        let unsent = job.came + span_of(nanos(job.due - job.came) * part.clamp(UNSENT.0, UNSENT.1));
         let until = if job.attempts.is_empty() { until.min(unsent) } else { until };
         let held_by = self.holders_of(job.req.shard);
         let stuck = job.out == 0 && !held_by.is_empty() && !held_by.iter().any(|n| self.group_holds(job, *n));
