Take back attempts not yet written when their box drains, goes or is taken out

Need: the second deployment leaves 250 ms after a drain was told, the first 1 s; a send's time counts from its first byte. But an attempt sent just before waited for its connection (up to the settings' connect-timeout, 250 ms) and, before that, for a place among the descriptors (src/net/boxes.rs, permits, without bound), and was written whenever both were there. With 1 s that held by luck; with 250 ms and 50 ms of slack it does not where places are short.

The change: box clients tell the core when an attempt's first byte goes out (News::Writes, both fronts). On news that a box drains, is gone or is taken out, Broker::recall takes back what was not written to it: End::Recalled, 'never sent', so a write may go to the box's successor. What was written is waited for as before.

Tests: an_attempt_that_was_not_written_is_taken_back_when_its_box_drains (red without recall: nothing aborted), a_drain_takes_nothing_back_that_was_written (red where Writes is not told: a read would run twice).

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -97,6 +97,8 @@
 /// How far an attempt is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum News {
+    /// Its first byte goes out now: from here on its box may have it.
+    Writes,
     /// The request's body goes out as its client sends it.
     BodyMoves,
     /// Its last byte has gone.
@@ -224,6 +226,7 @@
     until: Duration,
     began: Option<Duration>,
     moves: bool,
+    writes: bool,
 }
 
 /// A box that the list named once, and what operators said of it.
@@ -386,6 +389,7 @@
         if self.peers.is_some() && (review || due) {
             events.extend(self.review(at, &mut effects));
         }
+        self.recall(at, &mut events, &mut effects);
         let mut actions = Vec::new();
         while !events.is_empty() {
             self.scheduler.step(at, &events, &mut actions);
@@ -457,9 +461,16 @@
     fn went(&mut self, at: Duration, id: RequestId, number: u8, news: News) -> Option<Event> {
         let (flight, open) = (self.flights.get_mut(&(id, number))?, self.open.get_mut(&id)?);
         let moves = news == News::BodyMoves;
-        if news == News::Began {
-            flight.began = Some(at);
-            return Some(Event::Began(id));
+        match news {
+            News::Writes => {
+                flight.writes = true;
+                return None;
+            }
+            News::Began => {
+                flight.began = Some(at);
+                return Some(Event::Began(id));
+            }
+            News::BodyMoves | News::BodyWent => {}
         }
         (flight.sent_at, flight.moves) = (at, moves);
         open.due = if moves { Duration::MAX } else { at.saturating_add(open.patience) };
@@ -520,6 +531,28 @@
         }
     }
 
+    /// A box that drains or is gone gets nothing new from now on: attempts at it that still wait for a connection
+    /// are taken back. They would be written whenever that comes up, past the time that the settings leave.
+    fn recall(&mut self, at: Duration, events: &mut Vec<Event>, effects: &mut Vec<Effect>) {
+        let lists =
+            events.iter().filter_map(|e| if let Event::List { lines, .. } = e { Some(lines) } else { None });
+        let lines: Vec<&NodeLine> = lists.flatten().collect();
+        if lines.is_empty() {
+            return;
+        }
+        let closed = |node: &NodeId| {
+            let line = lines.iter().rfind(|line| line.node == *node);
+            !self.addresses.contains_key(node) || line.is_some_and(|l| l.readiness != Readiness::Ready)
+        };
+        let waiting = self.flights.iter().filter(|(_, f)| !f.writes && closed(&f.node));
+        for (id, number) in waiting.map(|(key, _)| *key).collect::<Vec<_>>() {
+            if self.flights.get(&(id, number)).is_some_and(|f| f.moves) {
+                events.extend(self.went(at, id, number, News::BodyWent));
+            }
+            events.extend(self.give_up(at, id, number, End::Recalled, effects));
+        }
+    }
+
     /// Gives up attempts whose time has come.
     fn time_out(&mut self, at: Duration, events: &mut Vec<Event>, effects: &mut Vec<Effect>) {
         let over: Vec<_> = self.flights.iter().filter(|(_, f)| f.until <= at).map(|(k, _)| *k).collect();
@@ -693,7 +726,7 @@
                 let (number, due) = (open.attempts, open.due);
                 open.attempts = open.attempts.saturating_add(1);
                 let until = if !timeout.is_zero() { due.min(at.saturating_add(timeout)) } else { due };
-                let flight = Flight { node, sent_at: at, until, began: None, moves: false };
+                let flight = Flight { node, sent_at: at, until, began: None, moves: false, writes: false };
                 let Some(&to) = self.addresses.get(&node) else {
                     let void = self.outcome(at, request, number, &flight, End::NoAddress.outcome());
                     return Some(Event::Attempt(void));
--- a/crates/core/src/ending.rs
+++ b/crates/core/src/ending.rs
@@ -37,6 +37,8 @@
     CalledOff,
     /// It was never begun: the box's address is not known any more.
     NoAddress,
+    /// It was never written: its box took no new work before a connection was there.
+    Recalled,
 }
 
 impl End {
@@ -53,7 +55,7 @@
             End::BrokeWriting | End::BrokeWaiting | End::HalfAnswer => Ending::Broken,
             End::Silent => Ending::TimedOut,
             End::CalledOff => Ending::Cancelled,
-            End::NoAddress => Ending::Void,
+            End::NoAddress | End::Recalled => Ending::Void,
         }
     }
 }
--- a/src/nbd/boxes.rs
+++ b/src/nbd/boxes.rs
@@ -1,7 +1,7 @@
 //! Attempts at disk boxes, as an NBD client.
 
 use super::codec::*;
-use crate::broker::Reply;
+use crate::broker::{News, Reply};
 use crate::ending::End;
 use crate::runtime::host::{Errand, Tell};
 use bytes::Bytes;
@@ -104,13 +104,14 @@
 }
 
 impl Errand for Piece {
-    fn attempt(&self, to: SocketAddr, _wait: Duration, _: Tell) -> LocalBoxFuture<'static, Reply> {
+    fn attempt(&self, to: SocketAddr, _wait: Duration, tell: Tell) -> LocalBoxFuture<'static, Reply> {
         let piece = self.clone();
         async move {
             let mut link = match piece.boxes.link(to).await {
                 Ok(link) => link,
                 Err(end) => return Reply::none(end),
             };
+            tell(News::Writes);
             match link.exchange(&piece).await {
                 Ok((end, body)) => {
                     piece.boxes.put(to, link);
--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -1,6 +1,6 @@
 //! Attempts at disk boxes, over HTTP with awc.
 
-use super::stream::{BoxStream, Idling, BEGAN};
+use super::stream::{BoxStream, Idling, NEWS};
 use crate::broker::{News, Reply};
 use crate::ending::End;
 use crate::interface::Settings;
@@ -247,7 +247,7 @@
         }
         let (body, rest, bare) = (self.body.clone(), self.rest.clone(), self.method == Method::HEAD);
         let tell = Rc::new(tell);
-        let began = tell.clone();
+        let news = tell.clone();
         let attempt = async move {
             // Never closed; each is given back when its attempt ends, by whatever.
             let permit = boxes.permits.clone().acquire_owned().await.ok();
@@ -275,7 +275,7 @@
             };
             Reply { spent: upload.is_some_and(|u| u.is_spent()), ..reply }
         };
-        BEGAN.scope(Box::new(move || began(News::Began)), attempt).boxed_local()
+        NEWS.scope(news, attempt).boxed_local()
     }
 }
 
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -3,6 +3,8 @@
 //! awc takes a 1xx answer for the final one, and drops without a word what it read past an answer's end, so
 //! that the rest of it would be read as the next request's answer. Both are kept from it here.
 
+use crate::broker::News;
+use crate::runtime::host::Tell;
 use actix_rt::net::{ActixStream, Ready};
 use bytes::{Buf, BytesMut};
 use httparse::{Response, Status, EMPTY_HEADER};
@@ -44,8 +46,9 @@
 }
 
 tokio::task_local! {
-    /// Told once the first bytes of a final answer to the attempt that is being polled are there.
-    pub static BEGAN: Box<dyn Fn()>;
+    /// Told how far the attempt that is being polled is: that its first byte goes out, and that the first bytes
+    /// of its final answer are there.
+    pub static NEWS: Rc<Tell>;
 }
 
 /// How far a chunked body has come. awc reads its bytes; here is only kept where it ends.
@@ -239,7 +242,7 @@
                     if !self.begun && self.held.get(FIRST_DIGIT).is_some_and(|digit| *digit != b'1') {
                         self.begun = true;
                         // Where nobody waits for that there is nothing to tell.
-                        let _ = BEGAN.try_with(|began| began());
+                        let _ = NEWS.try_with(|tell| tell(News::Began));
                     }
                 }
             }
@@ -375,6 +378,7 @@
             self.begun = false;
             self.bare = bytes.starts_with(b"HEAD ");
             self.idle = self.since.map(|since| since.elapsed());
+            let _ = NEWS.try_with(|tell| tell(News::Writes));
         }
         Pin::new(&mut self.socket).poll_write(cx, bytes)
     }
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -110,6 +110,57 @@
     assert_eq!(told.broker.settings().classes.len(), 4);
 }
 
+/// Where drains leave a quarter of a second, an attempt that waited for its connection when one was told was
+/// written after that all the same.
+#[test]
+fn an_attempt_that_was_not_written_is_taken_back_when_its_box_drains() {
+    let sent = |effects: &[Effect]| effects.iter().filter(|e| matches!(e, Effect::Send { .. })).count();
+    for (readiness, orders) in
+        [(Readiness::Draining, false), (Readiness::Gone, false), (Readiness::Ready, true)]
+    {
+        let mut told = Told::new();
+        told.list(Readiness::Ready);
+        // A write with its bytes out, one that waits for a connection, and one with a large body that does.
+        for id in 1..=3 {
+            assert_eq!(sent(&told.at(2 * MS, Input::Arrived(id, ask(1)))), 1);
+            if id == 1 {
+                told.at(2 * MS, Input::Went(1, 0, News::Writes));
+            }
+        }
+        told.at(2 * MS, Input::Went(2, 0, News::BodyMoves));
+        let news = if orders {
+            Input::Order(Order::Suspend("s-0000000a".into()))
+        } else {
+            let entries = vec![Member {
+                id: "s-0000000a".into(),
+                address: Some("127.0.0.1:7".parse().unwrap()),
+                zone: String::new(),
+                shard: 0,
+                readiness,
+                up_since: None,
+            }];
+            Input::List(Members { revision: 2, kind: ListKind::Changes, entries })
+        };
+        let effects = told.at(4 * MS, news);
+        let aborted = |id| effects.contains(&Effect::Abort(id, 0));
+        assert_eq!([1, 2, 3].map(aborted), [false, true, true], "{effects:?}");
+        assert_eq!(told.broker.ends().get("Recalled"), Some(&2));
+        // Its successor gets them, writes though they are: they never ran.
+        let successor = Member {
+            id: "s-0000000b".into(),
+            address: Some("127.0.0.1:8".parse().unwrap()),
+            zone: String::new(),
+            shard: 0,
+            readiness: Readiness::Ready,
+            up_since: None,
+        };
+        let list = Members { revision: 3, kind: ListKind::Changes, entries: vec![successor] };
+        assert_eq!(sent(&told.at(5 * MS, Input::List(list))), 2);
+        let whole = told.at(9 * MS, Input::Ended(1, 0, Reply::none(End::Whole)));
+        assert!(whole.iter().any(|e| matches!(e, Effect::Answer(1, Answer::Served(_)))));
+    }
+}
+
 /// A target that is given back is cold: since the start that the list tells of, or since now. It got as little as
 /// one that had just started, however long ago its operators had started it.
 #[test]
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -281,6 +281,25 @@
     });
 }
 
+/// What its box has already is waited for when that drains; a second box would run it again.
+#[test]
+fn a_drain_takes_nothing_back_that_was_written() {
+    story(async {
+        let boxes = [HttpBox::start(|_, _| None).await, HttpBox::start(|_, _| None).await];
+        let (front, _, host) = http_front(&[(boxes[0].address, 0)]).await;
+        let mut client = HttpClient::connect(front).await;
+        client.0.write_all(&platform_request("GET", "leitura", 0, 2, b"")).await.unwrap();
+        boxes[0].came.notified().await;
+        let mut list = operator(&[(boxes[0].address, 0), (boxes[1].address, 0), (boxes[0].address, 1)]).boxes;
+        list.entries.truncate(2);
+        list.entries[0].readiness = shaletack::interface::Readiness::Draining;
+        host.feed(shaletack::broker::Input::List(list));
+        assert_eq!(client.ask(b"").await.0, 503);
+        assert!(host.look(|b| b.ends().keys().eq(["Silent"])));
+        assert_eq!((boxes[0].seen.borrow().len(), boxes[1].seen.borrow().len()), (1, 0));
+    });
+}
+
 #[test]
 fn a_client_that_leaves_ends_its_request() {
     story(async {
