Find NBD's classes by what the settings say, and keep keyed repeats in unnamed zones

Need: a second operator has other classes. src/operator/mod.rs (classes) looked for three names of the first deployment and refused any other file. Now the class that writes is the one that domain.changes-data names, or the one that is not idempotent; of those that read the shortest aim takes reads and the longest large ones. Too many, none, or flags that do not fit the lanes are faults with a path. A keyed class of writes is refused: NBD has nowhere to carry a key, so no box could drop its repeat, and the core would repeat it as if one did.

Also found by reading: a box in a zone that the settings do not name was given the first zone's number (Broker::line, unwrap_or(0)), so a keyed request whose group is 'zone' would have been repeated in another zone. Now it has a number of its own. Neither deployment's group is 'zone'; on one with one room it held by luck.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -24,6 +24,8 @@
 const COME_BACK: Duration = Duration::from_millis(100);
 /// Clients go on with classes that newer settings dropped for a while.
 const OLD_CLASSES: Duration = Duration::from_secs(5);
+/// Zones that the settings do not name are numbered from here on.
+const UNLISTED: u16 = 0x8000;
 /// Boxes are replaced by new ones all day; past so many names those that are gone are forgotten.
 const HEARD_MOST: usize = 4096;
 
@@ -675,13 +677,21 @@
         let out = stopped && member.readiness == Readiness::Ready;
         Some(NodeLine {
             node: node_number(id),
-            zone: self.settings.zones.iter().position(|z| *z == member.zone).unwrap_or(0) as u16,
+            zone: self.zone_number(member),
             shard: member.shard,
             readiness: if out { Readiness::Draining } else { member.readiness },
             born: heard.born().max(advice.born.unwrap_or_default()),
         })
     }
 
+    /// A zone that the settings do not name is none of theirs, nor that of a box which names none: boxes of two
+    /// zones do not drop each other's repeats.
+    fn zone_number(&self, member: &Member) -> u16 {
+        let named = self.settings.zones.iter().position(|zone| *zone == member.zone);
+        let name = if member.zone.is_empty() { &member.id } else { &member.zone };
+        named.map_or_else(|| UNLISTED | hash(name) as u16, |number| number as u16)
+    }
+
     fn listed(&mut self, members: Members, effects: &mut Vec<Effect>) -> Event {
         self.revision = members.revision;
         if members.kind != ListKind::Changes {
@@ -782,7 +792,10 @@
 fn node_number(id: &str) -> NodeId {
     let digits = id.rsplit('-').next().unwrap_or(id);
     let number = (digits.len() == 8).then(|| u32::from_str_radix(digits, 16).ok()).flatten();
-    number.unwrap_or_else(|| {
-        id.bytes().fold(0x811c_9dc5, |hash: u32, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193))
-    })
+    number.unwrap_or_else(|| hash(id))
+}
+
+/// FNV-1a.
+fn hash(text: &str) -> u32 {
+    text.bytes().fold(0x811c_9dc5, |hash: u32, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193))
 }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod records;
 
-use crate::interface::{ListKind, Plan, Readiness, Settings, VolumeId};
+use crate::interface::{Class, Effect, ListKind, Plan, Readiness, Settings, VolumeId};
 use crate::json::Fault;
 use crate::members::{Member, Members};
 use records::{DiskBox, File, Phase};
@@ -189,8 +189,9 @@
             faults.push(format!("/exports/{e}/hosts: a buffered export has one initiator, this one"));
         }
     }
+    let writes = file.settings.domain.changes_data.clone();
     let mut settings = Settings::from(file.settings);
-    let classes = classes(&settings, &mut faults);
+    let classes = classes(&settings.classes, writes, &mut faults);
     let contracts = contracts(&file.teams, &mut settings, &mut faults);
     let entries = boxes(&file.boxes, &mut faults);
     let shards: Option<BTreeSet<u16>> =
@@ -241,16 +242,41 @@
     }
 }
 
-fn classes(settings: &Settings, faults: &mut Vec<Fault>) -> Option<Classes> {
-    let mut class = |name: &str| {
-        let at = settings.classes.iter().position(|c| c.name == name);
-        if at.is_none() {
-            faults.push(format!("/settings/lanes: there is no class '{name}'"));
+/// Commands find their class by what the settings say of it, not by its name: NBD knows reads, large ones, and
+/// writes.
+fn classes(lanes: &[Class], writes: Vec<bool>, faults: &mut Vec<Fault>) -> Option<Classes> {
+    if !writes.is_empty() && writes.len() != lanes.len() {
+        let counts = format!("{} entries for {} lanes", writes.len(), lanes.len());
+        faults.push(format!("/settings/domain/changes-data: {counts}"));
+        return None;
+    }
+    let changes = |at: &usize| writes.get(*at).copied().unwrap_or(lanes[*at].effect != Effect::Safe);
+    let (writers, readers): (Vec<usize>, Vec<usize>) = (0..lanes.len()).partition(changes);
+    let names =
+        |of: &[usize]| of.iter().map(|at| format!("'{}'", lanes[*at].name)).collect::<Vec<_>>().join(", ");
+    let write = match writers[..] {
+        [write] => write,
+        [] => {
+            faults.push("/settings/lanes: no class writes".into());
+            return None;
+        }
+        _ => {
+            let more = format!("{} all write; NBD has one kind of write", names(&writers));
+            faults.push(format!("/settings/lanes: {more}, say which in domain.changes-data"));
+            return None;
         }
-        at.map(|at| at as u16)
     };
-    let (read, large_read, write) = (class("leitura"), class("exportacao"), class("gravacao"));
-    Some(Classes { read: read?, large_read: large_read?, write: write? })
+    if lanes[write].effect == Effect::Keyed {
+        let why = "NBD carries no key by which boxes could drop a repeat: 'at_most_once', or 'idempotent'";
+        faults.push(format!("/settings/lanes/{write}/idempotency: {why}"));
+    }
+    let (Some(read), Some(large_read)) =
+        (readers.iter().min_by_key(|at| lanes[**at].aim), readers.iter().max_by_key(|at| lanes[**at].aim))
+    else {
+        faults.push("/settings/lanes: no class reads".into());
+        return None;
+    };
+    Some(Classes { read: *read as u16, large_read: *large_read as u16, write: write as u16 })
 }
 
 /// The plans each team has contracted, by name; they become the settings' plans.
--- a/src/operator/records.rs
+++ b/src/operator/records.rs
@@ -16,7 +16,8 @@
     /// How many bytes one unit stands for.
     #[schemars(range(min = 512, max = 1_048_576))]
     pub unit_bytes: u32,
-    /// Reads of more bytes than this are `exportacao`, others `leitura`.
+    /// Reads of more bytes than this are large: they belong to the reading class with the longest aim, others to
+    /// the one with the shortest.
     #[schemars(range(min = 1, max = 33_554_432))]
     pub large_from: u32,
     /// The name of the export that the boxes give.
@@ -263,7 +264,7 @@
     /// How the list of boxes comes.
     #[serde(default)]
     pub membership_mode: Membership,
-    /// The classes of requests: `leitura`, `gravacao` and `exportacao` are needed.
+    /// The classes of requests: one that writes and one or more that read, see `domain.changes-data`.
     pub lanes: Vec<Lane>,
     /// None here: contracts stand under `teams`.
     #[serde(default)]
@@ -391,6 +392,8 @@
     pub beyond_share: f64,
     /// The period over which the meter adds up use; 0: no meter.
     pub meter_period: u64,
+    /// For each class: it writes. Where it is left out, those write that are not `idempotent`.
+    pub changes_data: Vec<bool>,
 }
 
 /// Figures of the rules.
@@ -407,7 +410,7 @@
     pub overload_factor: f64,
     /// The span over which work sent to a cold box is counted.
     pub tip_after: u64,
-    /// Work stops within this of a drain that was told; kept at 1 s whatever stands here.
+    /// Work stops within this of a drain that was told. It stops at once, whatever stands here.
     pub stop_sending_within: u64,
 }
 
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -2,7 +2,7 @@
 
 use shaletack::broker::*;
 use shaletack::ending::End;
-use shaletack::interface::{Class, Effect as Repeat, ListKind, Plan, Readiness, Rules, Settings};
+use shaletack::interface::{Class, Effect as Repeat, Group, ListKind, Plan, Readiness, Rules, Settings};
 use shaletack::members::{Member, Members};
 use std::time::{Duration, Instant};
 
@@ -161,6 +161,46 @@
     }
 }
 
+/// A zone that the settings do not name was taken for the first of them, whose boxes drop each other's repeats.
+#[test]
+fn a_keyed_repeat_stays_in_its_zone_named_or_not() {
+    let sent_again = |zones: [&str; 2]| {
+        let mut told = Told::new();
+        let class = Class {
+            effect: Repeat::Keyed,
+            group: Group::Zone,
+            memory: 500 * MS,
+            ..told.broker.settings().class(0)
+        };
+        let settings = Settings {
+            zones: vec!["room-a".into()],
+            classes: vec![class],
+            ..Settings::clone(&told.broker.settings())
+        };
+        told.broker = Broker::new(settings, 1, Clock::new(told.start, Duration::from_secs(1000)), told.start);
+        let member = |id: &str, zone: &str, readiness| Member {
+            id: id.into(),
+            address: Some("127.0.0.1:7".parse().unwrap()),
+            zone: zone.into(),
+            shard: 0,
+            readiness,
+            up_since: None,
+        };
+        let list = |entries| Input::List(Members { revision: 1, kind: ListKind::Full, entries });
+        let first = |readiness| member("s-0000000a", zones[0], readiness);
+        told.at(MS, list(vec![first(Readiness::Ready)]));
+        told.at(2 * MS, Input::Arrived(1, ask(0)));
+        let second = member("s-0000000b", zones[1], Readiness::Ready);
+        told.at(3 * MS, Input::Went(1, 0, News::Writes));
+        told.at(3 * MS, list(vec![first(Readiness::Draining), second]));
+        let effects = told.at(4 * MS, Input::Ended(1, 0, Reply::none(End::BoxError)));
+        effects.iter().any(|e| matches!(e, Effect::Send { .. }))
+    };
+    assert!(sent_again(["room-a", "room-a"]) && sent_again(["room-c", "room-c"]));
+    assert!(!sent_again(["room-a", "room-b"]) && !sent_again(["room-b", "room-c"]));
+    assert!(!sent_again(["", ""]) && !sent_again(["room-a", ""]));
+}
+
 /// A target that is given back is cold: since the start that the list tells of, or since now. It got as little as
 /// one that had just started, however long ago its operators had started it.
 #[test]
