--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -50,18 +50,17 @@
     }
 
     fn list_at(&mut self, at: Duration, readiness: Readiness, up_since: Option<Duration>) {
-        let entries = vec![Member {
-            id: "s-0000000a".into(),
-            address: Some("127.0.0.1:7".parse().unwrap()),
-            zone: String::new(),
-            shard: 0,
-            readiness,
-            up_since,
-        }];
+        let entries = vec![Member { up_since, ..member("s-0000000a", "", readiness) }];
         self.at(at, Input::List(Members { revision: 1, kind: ListKind::Changes, entries }));
     }
 }
 
+/// A box of shard 0.
+fn member(id: &str, zone: &str, readiness: Readiness) -> Member {
+    let address = Some("127.0.0.1:7".parse().unwrap());
+    Member { id: id.into(), address, zone: zone.into(), shard: 0, readiness, up_since: None }
+}
+
 fn ask(class: u16) -> Ask {
     Ask {
         class,
@@ -131,14 +130,7 @@
         let news = if orders {
             Input::Order(Order::Suspend("s-0000000a".into()))
         } else {
-            let entries = vec![Member {
-                id: "s-0000000a".into(),
-                address: Some("127.0.0.1:7".parse().unwrap()),
-                zone: String::new(),
-                shard: 0,
-                readiness,
-                up_since: None,
-            }];
+            let entries = vec![member("s-0000000a", "", readiness)];
             Input::List(Members { revision: 2, kind: ListKind::Changes, entries })
         };
         let effects = told.at(4 * MS, news);
@@ -146,14 +138,7 @@
         assert_eq!([1, 2, 3].map(aborted), [false, true, true], "{effects:?}");
         assert_eq!(told.broker.ends().get("Recalled"), Some(&2));
         // Its successor gets them, writes though they are: they never ran.
-        let successor = Member {
-            id: "s-0000000b".into(),
-            address: Some("127.0.0.1:8".parse().unwrap()),
-            zone: String::new(),
-            shard: 0,
-            readiness: Readiness::Ready,
-            up_since: None,
-        };
+        let successor = member("s-0000000b", "", Readiness::Ready);
         let list = Members { revision: 3, kind: ListKind::Changes, entries: vec![successor] };
         assert_eq!(sent(&told.at(5 * MS, Input::List(list))), 2);
         let whole = told.at(9 * MS, Input::Ended(1, 0, Reply::none(End::Whole)));
@@ -178,14 +163,6 @@
             ..Settings::clone(&told.broker.settings())
         };
         told.broker = Broker::new(settings, 1, Clock::new(told.start, Duration::from_secs(1000)), told.start);
-        let member = |id: &str, zone: &str, readiness| Member {
-            id: id.into(),
-            address: Some("127.0.0.1:7".parse().unwrap()),
-            zone: zone.into(),
-            shard: 0,
-            readiness,
-            up_since: None,
-        };
         let list = |entries| Input::List(Members { revision: 1, kind: ListKind::Full, entries });
         let first = |readiness| member("s-0000000a", zones[0], readiness);
         told.at(MS, list(vec![first(Readiness::Ready)]));
