--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -300,7 +300,8 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let class = self.set.class(job.req.class);
         let memory = job.first_run().filter(|_| class.effect == Effect::Keyed && job.out == 0);
-        let until = memory.map_or(job.due, |(_, at)| job.due.min(at.saturating_add(class.memory)));
+        let safe = class.memory.saturating_sub(self.set.connect_timeout); // It is written no later than then.
+        let until = memory.map_or(job.due, |(_, at)| job.due.min(at.saturating_add(safe)));
         // Work for one that waited past its aim earns little and keeps others from theirs, at half the worth
         // in half that time; and a client told late that nothing was tried for it has lost that time.
         let part = nanos(class.aim) / nanos(class.deadline).max(1.0) / self.dearness(job.req.class);
@@ -465,13 +466,8 @@
 
     fn may_repeat(&self, job: &Job) -> bool {
         let class = self.set.class(job.req.class);
-        let tries_left = self.set.tries_left(&class, job.attempts.len());
-        let effect_ok = match (class.effect, job.first_run()) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Unsafe, Some(_)) => false,
-            (Effect::Keyed, Some((_, at))) => self.now < at.saturating_add(class.memory),
-        };
-        tries_left && effect_ok
+        let never_ran = job.first_run().is_none();
+        self.set.tries_left(&class, job.attempts.len()) && (never_ran || class.effect != Effect::Unsafe)
     }
 
     /// Takes an ended attempt off its node.
@@ -878,8 +874,8 @@
         let (now, rules) = (self.now, &self.set.rules);
         let age = node.born.map_or(FOREVER, |born| now.saturating_sub(born));
         let follows = node.relays > 0 && node.relay_until >= now;
-        let stated = rules.start_capacity > 0.0 && self.set.cold_bears * self.part > 0.0;
-        if follows || age >= rules.warm_up || !stated {
+        let stated = rules.start_capacity.min(self.set.cold_bears * self.part) > 0.0;
+        if follows || age >= rules.warm_up || !stated || rules.tip_after.is_zero() {
             return f64::INFINITY;
         }
         let (bears, grown) = (self.bears(), self.grown(age));
@@ -911,12 +907,13 @@
 
     /// What is left of an even part of what a cold node bears.
     fn part_room(&mut self, id: NodeId, part: f64) -> f64 {
-        let Some(node) = self.nodes.get(&id) else { return 0.0 };
+        let Some(node) = self.nodes.get_mut(&id) else { return 0.0 };
         let span = self.set.rules.tip_after;
-        let spent = node.sent.sum((self.now + NANO).saturating_sub(span));
+        let spent = node.sent.since((self.now + NANO).saturating_sub(span));
         // A reborn host may have used its part in its last life.
         let reborn = self.now < self.started + span && self.started >= node.born.unwrap_or_default();
-        self.wake_by(node.sent.first().map_or(self.now + SECOND / 10, |at| at + span));
+        let next = node.sent.first().map_or(self.now + SECOND / 10, |at| at + span);
+        self.wake_by(next);
         if reborn {
             0.0
         } else {
