Late work leaves units of limits; no refusal after an attempt that may have run

Cause: limit_allows (choice.rs) gave the units of a limited volume's store to requests past their aim as they came, and those that came next were refused for want of them. Now late work leaves half of the host's part of the store. Red without: late_work_leaves_units_of_a_limit_to_what_can_be_in_time.

Refusals (broker.rs ended, 508-512): a large body whose last attempt was turned away was answered 429 though an attempt before may have run, and with 100 ms whatever max-retry-after says. Ending::never_ran says in one place what proves that nothing ran. Red without: what_can_not_be_sent_again_is_refused_only_if_no_attempt_may_have_run.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -219,6 +219,8 @@
     due: Duration,
     patience: Duration,
     attempts: u8,
+    /// An attempt has ended that may have run.
+    may_have_run: bool,
 }
 
 #[derive(Debug)]
@@ -442,7 +444,10 @@
         }
         let patience = ask.patience.saturating_sub(WAY_BACK);
         let due = at.saturating_add(patience);
-        self.open.insert(id, Open { class: ask.class, units: ask.units, due, patience, attempts: 0 });
+        self.open.insert(
+            id,
+            Open { class: ask.class, units: ask.units, due, patience, attempts: 0, may_have_run: false },
+        );
         self.count(ask.class, |t| t.taken += 1);
         Some(Event::Request(Request {
             id,
@@ -503,13 +508,17 @@
                 effects.push(Effect::Answer(id, Answer::Served(reply.body)));
             }
         }
+        if let Some(open) = self.open.get_mut(&id) {
+            open.may_have_run |= !ending.never_ran();
+        }
         // What can't be sent again has its final answer with its first failure.
         if let Some(open) = self.open.get(&id).filter(|_| reply.spent) {
-            let (class, never_ran) =
-                (open.class, matches!(ending, Ending::TurnedAway | Ending::NoConnection));
+            let (class, never_ran) = (open.class, !open.may_have_run);
             self.open.remove(&id);
             self.count(class, |t| if never_ran { t.refused += 1 } else { t.failed += 1 });
-            let answer = if never_ran { Answer::Refused(COME_BACK) } else { Answer::Failed };
+            let top = Some(self.settings.retry_after_top).filter(|top| !top.is_zero());
+            let wait = top.map_or(COME_BACK, |top| top.min(COME_BACK));
+            let answer = if never_ran { Answer::Refused(wait) } else { Answer::Failed };
             effects.push(Effect::Answer(id, answer));
         }
         let mut attempt = self.outcome(flight.began.unwrap_or(at), id, number, &flight, ending);
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -25,6 +25,7 @@
 const REST_POWER: f64 = 2.0; // by that power of how often they do,
 const REST_TOP: f64 = 2.0; // at most so many leases, as far as the round trip is fresh.
 const POOLED: f64 = 0.5; // Part of a limit that waits at the volume's home, where hosts may talk.
+const LEFT: f64 = 0.5; // Part of a limit's store that late work leaves.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2)); // First, longest.
 const REPEAT_COST: f64 = 0.5; // What a request costs a node that has just taken the same key.
 const RUN_ROOM: f64 = 1.0; // A run of one key may go on past the window by so many,
@@ -422,8 +423,7 @@
         slot.2 = false;
         job.out -= 1;
         let (node_id, sent) = (slot.0, slot.1);
-        let unrun = matches!(a.ending, Ending::TurnedAway | Ending::NoConnection | Ending::Void);
-        if !unrun && job.may_have_run.is_none() {
+        if !a.ending.never_ran() && job.may_have_run.is_none() {
             job.may_have_run = Some((node_id, sent));
         }
         job.over |= a.over;
@@ -730,7 +730,7 @@
         if !(job.attempts.is_empty() || again && self.budget_allows()) {
             return None;
         }
-        if !drawn && !self.limit_allows(of, units) {
+        if !drawn && !self.limit_allows(of, units, late) {
             return None;
         }
         let (now, top) = (self.now, self.set.units_top);
@@ -791,15 +791,17 @@
         }
     }
 
-    fn limit_allows(&mut self, id: VolumeId, units: f64) -> bool {
+    /// Late work earns little: it leaves units to what can be in time, and goes where the store fills unused.
+    fn limit_allows(&mut self, id: VolumeId, units: f64, late: bool) -> bool {
         let now = self.now;
         let Some(volume) = self.volumes.get_mut(&id) else { return false };
+        let own = (1.0 - volume.pooled) / volume.hosts * self.part;
+        let units = units + if late { LEFT * volume.plan.burst * own } else { 0.0 };
         let missing = if volume.plan.limit > 0.0 { volume.missing(now, units, self.part) } else { 0.0 };
         if missing <= 0.0 {
             return true;
         }
-        let rate = volume.plan.limit * (1.0 - volume.pooled) / volume.hosts * self.part;
-        let wait = span_of((missing / rate * 1e9).clamp(1e6, 1e9));
+        let wait = span_of((missing / (volume.plan.limit * own) * 1e9).clamp(1e6, 1e9));
         self.wake_by(now + wait);
         self.ask_home(id);
         false
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -330,6 +330,13 @@
     Void,
 }
 
+impl Ending {
+    /// Proof that nothing of the attempt ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::TurnedAway | Ending::NoConnection | Ending::Void)
+    }
+}
+
 /// The end of one attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Attempt {
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -178,6 +178,32 @@
     assert!(!sent_again(["", ""]) && !sent_again(["room-a", ""]));
 }
 
+/// A large body that was turned away was answered with a refusal, though an attempt before it may have run, and
+/// with a wait past the settings' longest.
+#[test]
+fn what_can_not_be_sent_again_is_refused_only_if_no_attempt_may_have_run() {
+    let answer = |first: Option<End>| {
+        let mut told = Told::new();
+        let class = Class { effect: Repeat::Keyed, memory: 500 * MS, ..told.broker.settings().class(0) };
+        let settings = Settings { retry_after_top: 30 * MS, ..Settings::clone(&told.broker.settings()) };
+        let settings = Settings { classes: vec![class], ..settings };
+        told.broker = Broker::new(settings, 1, Clock::new(told.start, Duration::from_secs(1000)), told.start);
+        told.list(Readiness::Ready);
+        told.at(2 * MS, Input::Arrived(1, ask(0)));
+        let mut number = 0;
+        if let Some(first) = first {
+            told.at(3 * MS, Input::Ended(1, 0, Reply::none(first)));
+            told.at(40 * MS, Input::Woke);
+            number = 1;
+        }
+        let spent = Reply { spent: true, ..Reply::none(End::TurnedAway) };
+        told.at(41 * MS, Input::Ended(1, number, spent))
+    };
+    let (refused, failed) = (Effect::Answer(1, Answer::Refused(30 * MS)), Effect::Answer(1, Answer::Failed));
+    assert!(answer(None).contains(&refused) && answer(Some(End::TurnedAway)).contains(&refused));
+    assert!(answer(Some(End::BoxError)).contains(&failed));
+}
+
 /// A target that is given back is cold: since the start that the list tells of, or since now. It got as little as
 /// one that had just started, however long ago its operators had started it.
 #[test]
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -261,7 +261,7 @@
         CalledOff,
         NoAddress,
     ];
-    let never = |e: &End| matches!(e.outcome(), Ending::TurnedAway | Ending::NoConnection | Ending::Void);
+    let never = |e: &End| e.outcome().never_ran();
     let proofs: Vec<End> = all.into_iter().filter(never).collect();
     assert_eq!(proofs, [TurnedAway, Unreachable, ConnectTimedOut, HandshakeFailed, NoAddress]);
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -437,6 +437,28 @@
     }
 }
 
+/// Units of a limit went to requests past their aim as they came, and those that came next were refused for want of
+/// them: late work leaves half of the store.
+#[test]
+fn late_work_leaves_units_of_a_limit_to_what_can_be_in_time() {
+    // Plan, the client's wait (others wait 3 s: what is less was spent before), when it comes, and whether it goes.
+    let cases = [(0, 2400, 500, false), (0, 2400, 2000, true), (0, 3000, 500, true), (1, 2400, 500, true)];
+    for (plan, patience, after, goes) in cases {
+        let mut host = Host::new(Settings { hosts: 1, ..settings() });
+        // The round trip is known from one of another volume.
+        host.at(T0, &[Event::Request(Request { volume: 8, ..request(1) })]);
+        host.ring_until(T0 + 40 * MS);
+        host.at(host.now, &[outcome(1, 0, 1, Ending::Served)]);
+        host.ring_until(T0 + ms(after));
+        let ask = Request { plan, hosts: 1.0, patience: ms(patience), ..request(2) };
+        host.at(host.now, &[Event::Request(ask)]);
+        assert_eq!(host.sends().len() - 1, usize::from(goes), "{plan} {patience} {after}");
+        // It waits no longer for that than for anything else.
+        host.ring_until(host.now + S);
+        assert_eq!(host.sends().len() + host.ends(2).len(), 2, "{plan} {patience} {after}");
+    }
+}
+
 /// An attempt late by a whole aim gives its place to one that can still be in time, and is answered.
 #[test]
 fn a_late_attempt_makes_room_for_one_that_can_be_in_time() {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,9 +4,7 @@
 use proptest::prelude::*;
 use shaletack::broker::*;
 use shaletack::ending::End;
-use shaletack::interface::{
-    Class, Effect as Repeat, Ending, Group, ListKind, Plan, Readiness, Rules, Settings,
-};
+use shaletack::interface::{Class, Effect as Repeat, Group, ListKind, Plan, Readiness, Rules, Settings};
 use shaletack::members::{Member, Members};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -111,8 +109,8 @@
         units: f64,
         patience: Duration,
     },
-    /// One of the attempts that are out ends.
-    End(prop::sample::Index, End),
+    /// One of the attempts that are out ends; the bytes it sent can't be sent again.
+    End(prop::sample::Index, End, bool),
     Went(prop::sample::Index, News),
     Leaves(prop::sample::Index),
     Pass(Duration),
@@ -148,7 +146,7 @@
         8 => asks.prop_map(|(class, volume, key, shard, units, patience)| Step::Ask {
             class, volume, key, shard, units, patience,
         }),
-        4 => (pick(), end).prop_map(|(pick, end)| Step::End(pick, end)),
+        4 => (pick(), end, prop::bool::weighted(0.2)).prop_map(|(pick, end, spent)| Step::End(pick, end, spent)),
         2 => (pick(), news).prop_map(|(pick, news)| Step::Went(pick, news)),
         1 => pick().prop_map(Step::Leaves),
         4 => span(1500).prop_map(Step::Pass),
@@ -370,14 +368,14 @@
                 let ask = Ask { class, volume, plan, hosts, key, shard, units, patience, repeat: false };
                 self.tell(Input::Arrived(id, ask));
             }
-            Step::End(pick, end) => {
+            Step::End(pick, end, spent) => {
                 let out = self.out();
                 if let Some((n, number)) = (!out.is_empty()).then(|| *pick.get(&out)) {
-                    let unrun =
-                        matches!(end.outcome(), Ending::TurnedAway | Ending::NoConnection | Ending::Void);
+                    let unrun = end.outcome().never_ran();
                     let tried = &mut self.asked[n].tries[number];
                     (tried.out, tried.unrun) = (false, unrun);
-                    self.tell(Input::Ended(n as u64, number as u8, Reply::none(*end)));
+                    let reply = Reply { spent: *spent, ..Reply::none(*end) };
+                    self.tell(Input::Ended(n as u64, number as u8, reply));
                 }
             }
             Step::Went(pick, news) => {
