Lists in any layout, and one clock for a watch that fell silent

Cause: runtime/lines.rs cut a watch at each line feed, so an object over several lines was unreadable and the watch opened anew for ever. The clock was 5 s, and a call that brought no head took 5 s more, so news could come after 10 s. A new process answered /_health before the agent's first word, from a list that may be old.

Change: runtime/objects.rs reads object by object with serde_json's stream deserializer; 4.5 s of silence, of an unfinished object from its first byte on; etcd's watch has the same clock (30 s before). A call to an agent that answers at once waits 0.5 s. The start waits for the first word, 0.3 s at most.

Checked: five layouts in pieces of every size, and a watch that brings half an object and then empty lines, a next one without a head, a third with the list, in under 6 s; by reading, the former lines were unreadable and the former clock 5 + 0.1 + 5 s.

--- a/crates/core/src/asking.rs
+++ b/crates/core/src/asking.rs
@@ -12,6 +12,10 @@
 
 /// The first and the longest wait where asking costs nothing.
 const FREE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
+/// An agent that answers at once and is silent for so long is down, or the call is lost: another one costs nothing.
+const AT_ONCE: Duration = Duration::from_millis(500);
+/// A call that waits its turn may take so long.
+const IN_TURN: Duration = Duration::from_secs(5);
 /// Where it costs: the first wait after a call was turned away, and what each host adds to the longest one, so that a
 /// service which has room for two calls a second comes out of any queue,
 const DEAR: Duration = Duration::from_millis(500);
@@ -43,6 +47,15 @@
         }
     }
 
+    /// How long a call waits for its answer to begin.
+    pub fn patience(set: &Settings) -> Duration {
+        if set.list_on_request {
+            IN_TURN
+        } else {
+            AT_ONCE
+        }
+    }
+
     /// How long after a call or a watch failed a host asks again. `brought`: it had brought news. `refused`: the
     /// service answered that it could not serve it; else it broke, perhaps everywhere at once.
     pub fn again(&mut self, set: &Settings, brought: bool, refused: bool) -> Duration {
--- a/src/etcd.rs
+++ b/src/etcd.rs
@@ -8,15 +8,13 @@
 use crate::members::{self, Member, Members};
 use crate::operator::Etcd;
 use crate::runtime::host::Host;
-use crate::runtime::lines::{Lines, SILENCE};
+use crate::runtime::objects::{self, Objects, SILENT};
 use awc::{Client, Connector};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use std::time::Duration;
 use tracing::warn;
 
-/// etcd sends nothing while nothing changes; after so long the list is read anew, in case the watch is dead.
-const SILENT: Duration = Duration::from_secs(30);
 const ANSWER: Duration = Duration::from_secs(3);
 const FIRST_WAIT: Duration = Duration::from_millis(100);
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
@@ -148,15 +146,16 @@
         Ok(Err(error)) => return Over::Broken(format!("watch could not be asked: {error}")),
         Err(_) => return Over::Broken("no answer to a watch".into()),
     };
-    let mut lines = Lines::new(response);
+    let mut messages = Objects::new(response);
     loop {
-        let line = match lines.next(SILENT).await {
-            Ok(line) if line.iter().all(u8::is_ascii_whitespace) => continue,
-            Ok(line) => line,
-            Err(why) if why == SILENCE => return Over::Silent,
+        // etcd sends nothing while nothing changes: whether the watch is dead only the whole list tells.
+        let message = match messages.next(SILENT).await {
+            Ok(None) => continue,
+            Ok(Some(message)) => message,
+            Err(objects::Over::Silent) => return Over::Silent,
             Err(why) => return Over::Broken(format!("watch {why}")),
         };
-        match news(line, etcd, revision) {
+        match news(message, etcd, revision) {
             Ok(Some(input)) => host.feed(input),
             Ok(None) => {}
             Err(over) => return over,
--- a/src/main.rs
+++ b/src/main.rs
@@ -362,6 +362,7 @@
         actix_rt::spawn(management::serve(host.clone(), link.clone(), calls, ready.clone()));
     }
     let mut watch = watch::Watch::start(host.clone(), discovery, host.look(Broker::revision), seed);
+    watch.first_word().await;
     // The environment tells where discovery was at the start; from a new file on, the file does.
     let unless_moved = |name: &str| (name != "ROUTER_DISCOVERY").then(|| std::env::var(name).ok())?;
     // What is read has to be whole before any of it counts.
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -1,10 +1,15 @@
 //! The platform's front: stories between HTTP clients, the initiator, boxes and discovery on loopback.
 
 mod common;
+use bytes::Bytes;
 use common::net::*;
+use futures_util::stream;
 use shaletack::ending::End;
 use shaletack::interface::Ending;
 use shaletack::nbd::codec::{cmd, errno};
+use shaletack::net::watch::Watch;
+use shaletack::runtime::objects::{Objects, Over, SILENT};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 
 #[test]
@@ -471,7 +476,7 @@
         let mut client = HttpClient::connect(front).await;
         let health = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
         assert_eq!(client.ask(health).await.0, 503, "nothing to send to");
-        let _watch = shaletack::net::watch::Watch::start(host.clone(), agent.address, 41, 1);
+        let _watch = Watch::start(host.clone(), agent.address, 41, 1);
         while !host.is_ready() {
             tokio::task::yield_now().await;
         }
@@ -485,6 +490,91 @@
     });
 }
 
+/// Lists may come indented. Read by lines, an object over several was unreadable, and its watch opened anew for ever.
+#[test]
+fn a_list_is_read_in_any_layout_and_any_pieces() {
+    let one = r#"{"revision":7,"complete":true,"members":[{"id":"a}{\\\"","cell":3},{"id":"b"}]}"#;
+    let value: serde_json::Value = serde_json::from_str(one).unwrap();
+    let wide = serde_json::to_string_pretty(&value).unwrap();
+    let layouts = [
+        format!("{one}\n{one}\n"),
+        format!("\n{wide}\n\n\n{one}\n"),
+        format!("{}\r\n{wide}", wide.replace('\n', "\r\n\r\n")),
+        format!("{one}{wide}"),
+        format!("{}\n{wide}", wide.replace("  ", "\t")),
+    ];
+    story(async move {
+        for text in layouts {
+            for size in 1..=text.len() {
+                let pieces = text.as_bytes().chunks(size).map(|p| Ok::<_, String>(Bytes::copy_from_slice(p)));
+                let mut objects = Objects::new(stream::iter(pieces.collect::<Vec<_>>()));
+                let mut found = Vec::new();
+                let over = loop {
+                    match objects.next(SILENT).await {
+                        Ok(object) => found.extend(object),
+                        Err(over) => break over,
+                    }
+                };
+                assert!(matches!(over, Over::Closed), "{over}: {text} in pieces of {size}");
+                let read = |text: &Vec<u8>| serde_json::from_slice::<serde_json::Value>(text).unwrap();
+                assert_eq!(
+                    found.iter().map(read).collect::<Vec<_>>(),
+                    [value.clone(), value.clone()],
+                    "{text}"
+                );
+            }
+        }
+        let spoilt = stream::iter([Ok::<_, String>(Bytes::from_static(b"<html>"))]);
+        assert!(matches!(Objects::new(spoilt).next(SILENT).await, Err(Over::Unreadable(_))));
+    });
+}
+
+/// A watch brings half an object and then empty lines for ever; of the next only the connection comes up; the third
+/// brings the list, well before 6 s have passed since the first fell silent.
+#[test]
+fn a_watch_that_fell_silent_is_opened_anew_before_its_news_counts_as_told() {
+    story(async {
+        let agent = peer(|stream, number| async move {
+            let mut s = BufReader::new(stream);
+            message(&mut s).await;
+            let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let list = r#"{"revision":43,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:9","cell":0,"phase":"up"}]}"#;
+            let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len()).into_bytes();
+            match number {
+                0 => {
+                    s.write_all(&[&head[..], &chunk(&list[..40])].concat()).await.unwrap();
+                    while s.write_all(&chunk("\n")).await.is_ok() {
+                        tokio::time::sleep(Duration::from_millis(500)).await;
+                    }
+                }
+                1 => {
+                    // No head; it stays until the initiator ends it.
+                    let _ = s.read(&mut [0]).await;
+                }
+                _ => {
+                    s.write_all(&[&head[..], &chunk(list)].concat()).await.unwrap();
+                    let _ = s.read(&mut [0]).await;
+                }
+            }
+        })
+        .await;
+        let (_, _, host) = http_front(&[]).await;
+        let start = Instant::now();
+        let watch = Watch::start(host.clone(), agent, 41, 1);
+        watch.first_word().await;
+        assert!((0.25..1.0).contains(&start.elapsed().as_secs_f64()), "a silent agent holds up no start");
+        while !host.is_ready() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(start.elapsed() < Duration::from_secs(6), "{:?}", start.elapsed());
+        // What the agent has counts from the first moment of a new process.
+        let (_, _, host) = http_front(&[]).await;
+        let watch = Watch::start(host.clone(), agent, 41, 1);
+        watch.first_word().await;
+        assert!(host.is_ready());
+    });
+}
+
 /// Both fronts over boxes that serve, fail, stay silent or are gone: the same requests bring the same
 /// figures of service by class.
 #[test]
