Units of requests that are out or were given up leave no room in a limit's store

Cause: choice.rs send draws a request's units when it goes out, but its box takes them when its last byte comes. What was sent into a cut and given up there comes at its end, all at once, beside what the store has filled up to meanwhile (Volume::missing filled to the whole burst).

Change: a volume knows the units of requests that are out, and of those given up of which nothing proves that they can come no more; the caps of its stores are less by both (state.rs draw, settle, owed). An end that proves that it came, or that it never will, takes them off; what was given up counts for keepalive, the longest a connection lives after its last answer. So sends of any span are at most what the store holds, less what may still come, and what fills: no order of arrivals passes the limit. A request's units count once, however often it is sent, as the rule says.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -366,8 +366,11 @@
         if !job.over || job.out > 0 {
             return;
         }
-        let key = job.req.key;
+        let (key, units, may_come) = (job.req.key, job.req.units, !job.arrived && job.may_have_run.is_some());
         let ordered = self.set.class(job.req.class).ordered && key != 0;
+        if let Some(volume) = self.volumes.get_mut(&job.req.volume).filter(|_| job.drawn) {
+            volume.settle(self.now, units, may_come);
+        }
         self.jobs.remove(&id);
         if ordered {
             if let Some(line) = self.lines.get_mut(&key) {
@@ -427,6 +430,8 @@
             job.may_have_run = Some((node_id, sent));
         }
         job.over |= a.over;
+        let away = [Ending::TimedOut, Ending::Cancelled, Ending::NoConnection, Ending::Void];
+        job.arrived |= !away.contains(&a.ending);
         let req = job.req.clone();
         self.rest_key(&req, a.ending);
         self.settle_out(node_id, a);
@@ -797,7 +802,8 @@
         let Some(volume) = self.volumes.get_mut(&id) else { return false };
         let own = (1.0 - volume.pooled) / volume.hosts * self.part;
         let units = units + if late { LEFT * volume.plan.burst * own } else { 0.0 };
-        let missing = if volume.plan.limit > 0.0 { volume.missing(now, units, self.part) } else { 0.0 };
+        let owed = volume.owed(now, self.set.keepalive.max(LEASE));
+        let missing = if volume.plan.limit > 0.0 { volume.missing(now, units, self.part, owed) } else { 0.0 };
         if missing <= 0.0 {
             return true;
         }
@@ -977,10 +983,7 @@
             volume.sent.add(now, units, LEASE);
             volume.reserve.tokens = (volume.reserve.tokens - units).max(0.0);
             if !job.drawn {
-                volume.slice.tokens -= units;
-                let given = volume.gift(now).min(units);
-                volume.given -= given;
-                volume.sure.tokens -= units - given;
+                volume.draw(now, units);
             }
         }
         job.drawn = true;
@@ -1047,7 +1050,7 @@
     }
 
     /// How many units the buckets lack for a request of this size.
-    fn missing(&mut self, now: Duration, units: f64, whole: f64) -> f64 {
+    fn missing(&mut self, now: Duration, units: f64, whole: f64, owed: f64) -> f64 {
         let limit = self.plan.limit;
         let full = self.plan.burst * whole;
         let empty = self.slice.tokens < units;
@@ -1061,17 +1064,13 @@
         // The guard of rule 7: whatever the news, no host draws past rate and burst over the host count.
         let (even, own) = (1.0 / self.hosts, 1.0 - self.pooled);
         let cap = self.plan.burst * own + 0.5 * self.plan.tolerance;
-        let sure = self.sure.fill(now, limit * own * even * whole, cap * even * whole) + self.gift(now);
-        let slice = self.slice.fill(now, limit * part * whole, full * part.max(even));
+        // What is out, or given up and may still come, takes its units when it does: no store fills beside it.
+        let sure =
+            self.sure.fill(now, limit * own * even * whole, cap * even * whole - owed) + self.gift(now);
+        let slice = self.slice.fill(now, limit * part * whole, full * part.max(even) - owed);
         units - sure.min(slice)
     }
 
-    fn scale_tokens(&mut self, part: f64) {
-        for bucket in [&mut self.slice, &mut self.sure] {
-            bucket.tokens *= if bucket.tokens > 0.0 { part } else { 1.0 };
-        }
-    }
-
     /// How long given units may be held: the home's store must not fill past the tolerance meanwhile.
     fn hold(&self) -> Duration {
         span_of(0.4 * self.plan.tolerance / (POOLED * self.plan.limit) * 1e9)
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -32,6 +32,10 @@
     pub(crate) given: f64, // Units from the home, to be spent by then.
     pub(crate) given_until: Duration,
     pub(crate) reserve: Bucket,
+    #[serde(skip)]
+    pub(crate) out: f64, // Units of requests that are out,
+    #[serde(default)]
+    pub(crate) gone: Recent, // and of those given up of late, which may still come to their boxes.
 }
 
 /// Requests that wait for one shard, or are out there.
@@ -53,6 +57,7 @@
     pub(crate) over: bool,
     pub(crate) queued: bool,
     pub(crate) drawn: bool,
+    pub(crate) arrived: bool, // An attempt has ended that its box had for certain.
     pub(crate) streaming: bool,
     pub(crate) may_have_run: Option<(NodeId, Duration)>, // The first attempt that may have run.
 }
@@ -129,6 +134,35 @@
 }
 
 impl Volume {
+    /// A request goes out for the first time; its units count from when it comes to its box.
+    pub(crate) fn draw(&mut self, now: Duration, units: f64) {
+        let given = self.gift(now).min(units);
+        self.given -= given;
+        self.slice.tokens -= units;
+        self.sure.tokens -= units - given;
+        self.out += units;
+    }
+
+    /// From now on only this part of what there is.
+    pub(crate) fn scale_tokens(&mut self, part: f64) {
+        for bucket in [&mut self.slice, &mut self.sure] {
+            bucket.tokens *= if bucket.tokens > 0.0 { part } else { 1.0 };
+        }
+    }
+
+    /// Nothing of it is out any more; where all of it was given up, nothing proves that it can come no more.
+    pub(crate) fn settle(&mut self, now: Duration, units: f64, may_come: bool) {
+        self.out = (self.out - units).max(0.0);
+        if may_come {
+            self.gone.add(now, units);
+        }
+    }
+
+    /// Units that may come to boxes yet; a connection lives for so long after its last answer at most.
+    pub(crate) fn owed(&mut self, now: Duration, lives: Duration) -> f64 {
+        self.out + self.gone.since(now.saturating_sub(lives))
+    }
+
     pub(crate) fn gift(&self, now: Duration) -> f64 {
         if now < self.given_until {
             self.given
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -29,22 +29,41 @@
     })
 }
 
-/// Hosts that share one limited volume; whatever the split of demand, news, restarts and failures, the
-/// volume's store is never overdrawn.
+/// A volume's store, as whoever counts its units sees it.
+struct Store {
+    plan: Plan,
+    units: f64,
+    at: Duration,
+}
+
+impl Store {
+    fn take(&mut self, now: Duration, units: f64) {
+        let came = self.plan.limit * (now - self.at).as_secs_f64();
+        (self.units, self.at) = ((self.units + came).min(self.plan.burst) - units, now);
+        assert!(self.units >= -self.plan.tolerance, "the store fell to {}", self.units);
+    }
+}
+
+/// Hosts that share one limited volume; whatever the split of demand, news, restarts and failures, the volume's store
+/// is never overdrawn: neither where units count once a request is sent, nor where they count once it has come, which
+/// it may long after it was given up, all of a cut at the same instant.
 fn limit_is_kept(steps: &[Step]) {
-    let plan = settings().plans[0].clone();
-    let mut hosts: Vec<Host> = (0..3).map(|_| Host::new(settings())).collect();
+    let set = Settings { keepalive: 3 * S, ..settings() };
+    let plan = set.plans[0].clone();
+    let mut hosts: Vec<Host> = (0..3).map(|_| Host::new(set.clone())).collect();
     let mut out: Vec<Vec<(RequestId, u8, NodeId)>> = vec![Vec::new(); 3];
-    let (mut store, mut now, mut id) = (plan.burst, T0, 0);
+    let full = || Store { plan: plan.clone(), units: plan.burst, at: T0 };
+    let (mut sent, mut come, mut now, mut id) = (full(), full(), T0, 0);
     let mut drawn: BTreeMap<RequestId, f64> = BTreeMap::new();
+    let mut on_the_way: BTreeMap<RequestId, (usize, Duration, f64)> = BTreeMap::new();
     for &(which, kind, pick, units) in steps {
-        let pass = (pick % 40) * MS;
-        store = (store + plan.limit * pass.as_nanos() as f64 / 1e9).min(plan.burst);
-        now += pass;
+        now += (pick % 40) * MS;
         let event = match kind {
             0..=3 => {
-                hosts[which] = Host { scheduler: Scheduler::new(settings(), 3, now), now, log: vec![] };
+                hosts[which] = Host { scheduler: Scheduler::new(set.clone(), 3, now), now, log: vec![] };
                 out[which].clear();
+                // Its connections end with a process.
+                on_the_way.retain(|_, (host, ..)| *host != which);
                 list(ListKind::Cached, vec![line(1, 0)])
             }
             4..=150 => {
@@ -53,19 +72,35 @@
                 drawn.insert(id, units);
                 Event::Request(Request { id, plan: 0, hosts: 3.0, units, ..request(id) })
             }
+            151 => {
+                let alive =
+                    std::mem::take(&mut on_the_way).into_values().filter(|w| now < w.1 + set.keepalive);
+                alive.for_each(|(_, _, units)| come.take(now, units));
+                Event::Timer
+            }
             _ if out[which].is_empty() => Event::Timer,
             _ => {
                 let at = pick as usize % out[which].len();
-                let ending = if kind < 240 { Ending::Served } else { Ending::TurnedAway };
-                news(&out[which].remove(at), ending, pick)
+                let ending = match kind {
+                    152..=235 => Ending::TimedOut,
+                    236..=250 => Ending::Served,
+                    _ => Ending::TurnedAway,
+                };
+                let over = out[which].remove(at);
+                if ending != Ending::TimedOut {
+                    on_the_way.remove(&over.0).into_iter().for_each(|way| come.take(now, way.2));
+                }
+                news(&over, ending, pick)
             }
         };
         for action in hosts[which].at(now, &[event]) {
             if let Action::Send { request, node, .. } = action {
-                store -= drawn.remove(&request).unwrap_or(0.0);
+                if let Some(units) = drawn.remove(&request) {
+                    sent.take(now, units);
+                    on_the_way.insert(request, (which, now, units));
+                }
                 let number = hosts[which].sends().iter().filter(|s| s.1 == request).count() - 1;
                 out[which].push((request, number as u8, node));
-                assert!(store >= -plan.tolerance, "the store fell to {store}");
             }
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -460,6 +460,41 @@
 }
 
 /// An attempt late by a whole aim gives its place to one that can still be in time, and is answered.
+/// Through a cut of 6 s all that is sent is given up, and all of it that still can comes at its end: connections live
+/// for 4 s. Before, the store had filled again meanwhile, and what came passed the limit by all that was given up.
+#[test]
+fn what_was_given_up_keeps_its_units_while_it_may_still_come() {
+    let set = Settings { keepalive: 4 * S, ..settings() };
+    let plan = set.plans[0].clone();
+    let mut host = Host::new(set);
+    // Each request's units count once, from its first attempt on.
+    let six_seconds = |host: &mut Host, first: RequestId, ending: Ending| -> Vec<(Duration, RequestId)> {
+        let mut sent: Vec<(Duration, RequestId)> = Vec::new();
+        for n in 0..6000 {
+            let new = Request { plan: 0, hosts: 1.0, ..request(first + n) };
+            let event = if n % 10 == 0 { Event::Request(new) } else { Event::Timer };
+            let mut actions = host.at(host.now + MS, &[event]);
+            while let Some(Action::Send { request, node, .. }) =
+                actions.iter().find(|a| matches!(a, Action::Send { .. })).cloned()
+            {
+                let tries = sent.iter().filter(|s| s.1 == request).count();
+                sent.push((host.now, request));
+                actions = host.at(host.now, &[outcome(request, tries as u8, node, ending)]);
+            }
+        }
+        sent.sort_by_key(|s| s.1);
+        sent.dedup_by_key(|s| s.1);
+        sent
+    };
+    let cut = six_seconds(&mut host, 0, Ending::TimedOut);
+    let came = 2.0 * cut.iter().filter(|s| s.0 + 4 * S >= host.now).count() as f64;
+    assert!(!cut.is_empty() && came <= plan.burst + plan.tolerance, "{came} units come at once");
+    // Nothing stays drawn for good: past the life of those connections all that the limit allows goes out again.
+    host.ring_until(host.now + 5 * S);
+    let went = 2.0 * six_seconds(&mut host, 10_000, Ending::Served).len() as f64;
+    assert!(went >= 0.9 * (plan.burst + 6.0 * plan.limit), "{went} units went out");
+}
+
 #[test]
 fn a_late_attempt_makes_room_for_one_that_can_be_in_time() {
     let late = |cancels| {
