--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -1064,7 +1064,7 @@
         // The guard of rule 7: whatever the news, no host draws past rate and burst over the host count.
         let (even, own) = (1.0 / self.hosts, 1.0 - self.pooled);
         let cap = self.plan.burst * own + 0.5 * self.plan.tolerance;
-        // What is out, or given up and may still come, takes its units when it does: no store fills beside it.
+        // What is out, or was given up and may still come, takes its units then: no store fills beside it.
         let sure =
             self.sure.fill(now, limit * own * even * whole, cap * even * whole - owed) + self.gift(now);
         let slice = self.slice.fill(now, limit * part * whole, full * part.max(even) - owed);
