--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -926,15 +926,15 @@
         }
     }
 
-    /// Where an even part holds hardly a request, a host saves its part until it does: it may be overdrawn
-    /// by one, of any size. It starts from a chance amount, as if it had saved for long, reborn hosts too: so
-    /// all together send what their parts hold in any span, within the chance that the rule leaves.
+    /// What a host has saved when it first knows of a start: a chance amount, as if it had saved for long.
     fn first_saved(&self, id: NodeId, born: Duration) -> Bucket {
         let chance = scramble(self.seed ^ u64::from(id) ^ born.as_nanos() as u64) % 1024;
         Bucket { tokens: self.set.unit_mean * chance as f64 / 1024.0, at: self.now }
     }
 
-    /// What a host may send of what it has saved.
+    /// Where an even part holds hardly a request, a host saves its part until it does: it may be overdrawn
+    /// by one, of any size. Reborn hosts start from chance amounts as well: so all together send what their
+    /// parts hold in any span, within the chance that the rule leaves.
     fn saved_room(&mut self, id: NodeId, part: f64) -> f64 {
         let (now, mean) = (self.now, self.set.unit_mean);
         let Some(node) = self.nodes.get_mut(&id) else { return 0.0 };
--- a/crates/core/src/choice/inherit.rs
+++ b/crates/core/src/choice/inherit.rs
@@ -1,6 +1,7 @@
 //! What one process of a host leaves to the next; nothing is decided here.
 
 use super::Scheduler;
+use crate::measure::Bucket;
 use crate::state::{Learnt, Node};
 
 impl Scheduler {
@@ -8,7 +9,9 @@
     pub fn learnt(&self, part: f64) -> Learnt {
         let mut volumes: Vec<_> = self.volumes.iter().map(|(id, v)| (*id, v.clone())).collect();
         volumes.iter_mut().for_each(|(_, v)| v.scale_tokens(part));
-        let nodes = self.nodes.iter().map(|(id, n)| (*id, n.clone())).collect();
+        // What is saved for a cold node stays with this process; what is overdrawn binds both.
+        let saved = |n: &Node| Bucket { tokens: n.saved.tokens.min(0.0), at: self.now };
+        let nodes = self.nodes.iter().map(|(id, n)| (*id, Node { saved: saved(n), ..n.clone() })).collect();
         Learnt { started: self.started, volumes, nodes }
     }
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -57,7 +57,7 @@
     pub(crate) over: bool,
     pub(crate) queued: bool,
     pub(crate) drawn: bool,
-    pub(crate) arrived: bool, // An attempt has ended that its box had for certain.
+    pub(crate) arrived: bool, // An attempt has come to its box, or broke and can come no more.
     pub(crate) streaming: bool,
     pub(crate) may_have_run: Option<(NodeId, Duration)>, // The first attempt that may have run.
 }
