A client that goes is noticed behind what it sent, and a close resets no answer

And an attempt that waited for its connection was left out where the settings forbid cancelling.

ClientStream::poll_shutdown ends its own half, reads on and drops until the client's end, Stage::Leaving bounds that. At a stop connections end by end_quietly, which serves what has come, in place of actix-http's signal, which drops it. Broker::recall_unwanted takes back attempts that were not written and that nobody waits for.

Ruled out: cutting a flood at 16 KiB (a client that sends ahead and stays would lose its answer); reading a flood without bound (it sends at full speed).

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -401,6 +401,7 @@
             for action in actions.drain(..) {
                 events.extend(self.act(at, action, &mut effects));
             }
+            self.recall_unwanted(at, &mut events, &mut effects);
         }
         self.tell(at, &mut effects);
         let until = self.flights.values().map(|f| f.until).filter(|until| *until < Duration::MAX);
@@ -564,6 +565,16 @@
         }
     }
 
+    /// An attempt that still waits for a connection and for whose answer nobody waits any more never goes out,
+    /// whether or not the settings let one be cancelled that did.
+    fn recall_unwanted(&mut self, at: Duration, events: &mut Vec<Event>, effects: &mut Vec<Effect>) {
+        let unwanted = |(id, _): &(RequestId, u8), f: &Flight| !f.writes && !self.open.contains_key(id);
+        let flights = self.flights.iter().filter(|(key, f)| unwanted(key, f));
+        for (id, number) in flights.map(|(key, _)| *key).collect::<Vec<_>>() {
+            events.extend(self.give_up(at, id, number, End::Recalled, effects));
+        }
+    }
+
     /// Gives up attempts whose time has come.
     fn time_out(&mut self, at: Duration, events: &mut Vec<Event>, effects: &mut Vec<Effect>) {
         let over: Vec<_> = self.flights.iter().filter(|(_, f)| f.until <= at).map(|(k, _)| *k).collect();
--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -3,14 +3,16 @@
 //! actix-http has one clock for a connection's first head, one for an idle connection and none for a body;
 //! it reads up to 128 KiB of a head, and as much again of requests sent ahead. Here each has its own bound.
 
+use crate::runtime::gate::Closing;
 use crate::runtime::host::Host;
+use futures_util::FutureExt;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, Waker};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tracing::warn;
@@ -46,8 +48,11 @@
 const LEAVE_REST: Duration = Duration::from_millis(250);
 /// A head, with what of its body is read along with it.
 const HEAD_MOST: usize = 32 * 1024;
-/// Bytes read of requests sent ahead of an answer; more wait in the socket.
+/// Bytes kept of requests sent ahead of an answer. What comes beyond is read and dropped, for a client's close stands
+/// behind all that it sent, and the connection ends with the answer,
 const AHEAD_MOST: usize = 16 * 1024;
+/// or at once, where it goes on for so long.
+const FLOOD_MOST: usize = 4 << 20;
 /// Bytes read at one go; a client that sends at full speed must not keep others waiting.
 const AT_ONCE: usize = 16 * 1024;
 
@@ -82,6 +87,9 @@
     cut: Notify,
     /// It is to end once nothing more has come on it.
     ends: Cell<bool>,
+    /// More came ahead of an answer than is kept.
+    floods: Cell<bool>,
+    socket: Weak<RefCell<TcpStream>>,
 }
 
 impl Line {
@@ -131,6 +139,24 @@
         self.cut.notified().await;
     }
 
+    /// More came ahead of an answer than is kept: nothing behind that answer can be served.
+    pub fn floods(&self) -> bool {
+        self.floods.get()
+    }
+
+    /// It has a request that its client waits for.
+    fn is_waited_for(&self) -> bool {
+        matches!(self.stage.get(), Stage::Body | Stage::Moving | Stage::Taken)
+    }
+
+    /// Whether its client has closed it, or its sending half, behind whatever is still unread.
+    fn is_left(&self) -> bool {
+        let Some(socket) = self.socket.upgrade() else { return false };
+        let socket = socket.borrow();
+        let ready = socket.ready(Interest::READABLE).now_or_never();
+        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+    }
+
     /// Lets it end as if its client had closed it, unless a request has come that nobody read yet.
     fn end_quietly(&self) {
         self.ends.set(true);
@@ -177,7 +203,8 @@
 
 impl Crowd {
     /// A connection that was just accepted.
-    pub fn join(&self) -> Rc<Line> {
+    pub fn join(&self, socket: TcpStream) -> ClientStream {
+        let socket = Rc::new(RefCell::new(socket));
         let line = Rc::new(Line {
             stage: Cell::new(Stage::Fresh),
             since: Cell::new(Instant::now()),
@@ -186,13 +213,16 @@
             reader: RefCell::new(None),
             cut: Notify::new(),
             ends: Cell::new(false),
+            floods: Cell::new(false),
+            socket: Rc::downgrade(&socket),
         });
         self.0.borrow_mut().push(Rc::downgrade(&line));
-        line
+        ClientStream { socket, line, at_once: 0, ended: false, shut: false }
     }
 
-    /// Ends connections whose time is over, for as long as the front serves; `most` are let in.
-    pub async fn keep(self, host: Host, most: usize) {
+    /// Ends connections whose time is over, for as long as the front serves; `most` are let in. Once `closing` is
+    /// told every one ends on which nothing is asked.
+    pub async fn keep(self, host: Host, most: usize, closing: Closing) {
         let mut told = None;
         loop {
             tokio::time::sleep(LOOK).await;
@@ -203,16 +233,19 @@
             let most = (most as f64 * host.part()).ceil() as usize;
             let (open, full) = (lines.len(), lines.len() >= most && host.succeeded_since().is_none());
             let mut cut = 0;
+            let live = || lines.iter().filter_map(Weak::upgrade);
+            live().filter(|l| l.is_waited_for() && l.is_left()).for_each(|line| line.cut.notify_one());
             let succeeded = host.succeeded_since().map(|since| (since, SUCCEEDED));
-            if let Some((since, leave)) = succeeded.or(host.leaves_since().map(|since| (since, LEAVE))) {
-                let leaving =
-                    lines.iter().filter_map(Weak::upgrade).filter(|l| l.may_leave(now, since, leave));
-                leaving.for_each(|line| line.end_quietly());
+            if closing.is_told() {
+                live().for_each(|line| line.end_quietly());
+            } else if let Some((since, leave)) = succeeded.or(host.leaves_since().map(|since| (since, LEAVE)))
+            {
+                live().filter(|l| l.may_leave(now, since, leave)).for_each(|line| line.end_quietly());
             } else {
                 let taken = |part: &&(f64, Duration)| open as f64 >= part.0 * most as f64;
                 let idle = IDLE.iter().find(taken).map_or(FULL.1, |(_, idle)| *idle);
                 let idle = if full { FULL.1 } else { idle };
-                for line in lines.iter().filter_map(Weak::upgrade) {
+                for line in live() {
                     line.ends.set(false);
                     if line.rests(now, idle) {
                         line.end_quietly();
@@ -220,8 +253,7 @@
                     }
                 }
             }
-            let over = lines.iter().filter_map(Weak::upgrade).filter(|l| l.is_over(now, full));
-            cut += over.map(|line| line.cut.notify_one()).count();
+            cut += live().filter(|l| l.is_over(now, full)).map(|line| line.cut.notify_one()).count();
             if full && told.is_none_or(|at| now > at + Duration::from_secs(1)) {
                 warn!(
                     open,
@@ -236,21 +268,40 @@
 
 /// A client's connection as actix-http reads it.
 pub struct ClientStream {
-    socket: TcpStream,
+    socket: Rc<RefCell<TcpStream>>,
     line: Rc<Line>,
     at_once: usize,
+    /// Nothing more comes: its client closed it, or it broke.
+    ended: bool,
+    /// Nothing more goes out.
+    shut: bool,
 }
 
 impl ClientStream {
-    /// The connection of that line.
-    pub fn new(socket: TcpStream, line: Rc<Line>) -> Self {
-        ClientStream { socket, line, at_once: 0 }
-    }
-
     /// Its line.
     pub fn line(&self) -> Rc<Line> {
         self.line.clone()
     }
+
+    fn poll_socket(&self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_read(cx, out)
+    }
+
+    /// Reads and drops what comes: ready once nothing more does.
+    fn poll_drop(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut scrap = [0; 4096];
+        for _ in 0..AT_ONCE / scrap.len() {
+            let mut part = ReadBuf::new(&mut scrap);
+            let read = ready!(self.poll_socket(cx, &mut part));
+            if read.is_err() || part.filled().is_empty() {
+                self.ended = true;
+                return Poll::Ready(());
+            }
+            self.line.bytes.set(self.line.bytes.get() + part.filled().len());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
 }
 
 impl AsyncRead for ClientStream {
@@ -260,21 +311,26 @@
         out: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        let line = &this.line;
+        let line = this.line.clone();
         if this.at_once >= AT_ONCE {
             this.at_once = 0;
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
         if line.stage.get() == Stage::Taken && line.bytes.get() >= AHEAD_MOST {
-            line.reader.replace(Some(cx.waker().clone()));
-            this.at_once = 0;
+            line.floods.set(true);
+        }
+        if line.floods.get() {
+            let left = this.poll_drop(cx).is_ready();
+            if left || line.bytes.get() >= FLOOD_MOST {
+                line.cut.notify_one();
+            }
             return Poll::Pending;
         }
         // The buffer may have room for far more than its reader is meant to hold.
         let room = out.remaining().min(AT_ONCE - this.at_once);
         let mut part = ReadBuf::new(out.initialize_unfilled_to(room));
-        let Poll::Ready(read) = Pin::new(&mut this.socket).poll_read(cx, &mut part) else {
+        let Poll::Ready(read) = this.poll_socket(cx, &mut part) else {
             this.at_once = 0;
             if line.ends.get() && matches!(line.stage.get(), Stage::Fresh | Stage::Idle) {
                 return Poll::Ready(Ok(()));
@@ -282,8 +338,13 @@
             line.reader.replace(Some(cx.waker().clone()));
             return Poll::Pending;
         };
-        read?;
         let count = part.filled().len();
+        this.ended = count == 0;
+        if this.ended && line.is_waited_for() {
+            // Its request ends now, not once what is on its way out has gone.
+            line.cut.notify_one();
+        }
+        read?;
         out.advance(count);
         if count > 0 && matches!(line.stage.get(), Stage::Fresh | Stage::Idle) {
             line.put(Stage::Head);
@@ -299,15 +360,26 @@
 }
 
 impl AsyncWrite for ClientStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, bytes)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, bytes)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_flush(cx)
     }
 
+    /// Its own end first; then what still comes is read and dropped until its client's. A close over bytes that
+    /// nobody read would be a reset, and the last answer could be lost with it. `Stage::Leaving` bounds the wait.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
+        let this = &mut *self;
+        if !this.shut {
+            ready!(Pin::new(&mut *this.socket.borrow_mut()).poll_shutdown(cx))?;
+            this.shut = true;
+            this.line.put(Stage::Leaving);
+        }
+        if !this.ended {
+            ready!(this.poll_drop(cx));
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -48,11 +48,14 @@
     let core = host.clone();
     let gate = Gate { listener, host: host.clone(), most, closing: closing.clone(), succeeded };
     let open = Rc::new(Open { host, boxes, traces });
+    let closes = closing.clone();
     let handler = fn_service(move |request: Request| {
-        let open = open.clone();
+        let (open, closes) = (open.clone(), closes.clone());
         async move {
+            let line = request.conn_data::<Rc<Line>>().cloned();
             let mut response = open.handle(request).await;
-            if open.host.leaves_since().or(open.host.succeeded_since()).is_some() {
+            let leaves = open.host.leaves_since().or(open.host.succeeded_since()).is_some();
+            if leaves || closes.is_told() || line.is_some_and(|line| line.floods()) {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
             Ok::<_, Infallible>(response)
@@ -69,15 +72,15 @@
         })
         .client_disconnect_timeout(LINGER)
         .h1_allow_half_closed(false)
-        .graceful_shutdown_signal(move || closing.clone().told())
         .h1(handler);
     let Ok(http) = http.new_service(()).await else { return error!("the front could not be set up") };
     let crowd = Crowd::default();
-    let keeper = actix_rt::spawn(crowd.clone().keep(core, most));
+    let keeper = actix_rt::spawn(crowd.clone().keep(core, most, closing));
     // How a client's connection ends is the client's affair; its request knows by being dropped.
     let serve = |stream| {
-        let line = crowd.join();
-        let served = http.call((ClientStream::new(stream, line.clone()), None));
+        let stream = crowd.join(stream);
+        let line = stream.line();
+        let served = http.call((stream, None));
         async move {
             tokio::select! {
                 _ = served => {}
--- a/src/runtime/gate.rs
+++ b/src/runtime/gate.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Whether they are.
+    pub fn is_told(&self) -> bool {
+        self.0 .0.get()
+    }
+
     fn tell(&self) {
         self.0 .0.set(true);
         self.0 .1.notify_waiters();
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -146,6 +146,23 @@
     }
 }
 
+/// Where settings let nothing be cancelled, an attempt that waited for its connection went out for a client long gone.
+#[test]
+fn an_attempt_that_was_not_written_is_taken_back_when_its_client_leaves() {
+    for cancels in [true, false] {
+        let mut told = Told::new();
+        let settings = Settings { cancels, ..Settings::clone(&told.broker.settings()) };
+        told.broker = Broker::new(settings, 1, Clock::new(told.start, Duration::from_secs(1000)), told.start);
+        told.list(Readiness::Ready);
+        // One with its bytes out, one that waits for a connection, and one with a large body that does.
+        (1..=3).for_each(|id| drop(told.at(2 * MS, Input::Arrived(id, ask(1)))));
+        told.at(2 * MS, Input::Went(1, 0, News::Writes));
+        told.at(2 * MS, Input::Went(2, 0, News::BodyMoves));
+        let aborted = [1, 2, 3].map(|id| told.at(3 * MS, Input::Left(id)).contains(&Effect::Abort(id, 0)));
+        assert_eq!(aborted, [cancels, true, true]);
+    }
+}
+
 /// A zone that the settings do not name was taken for the first of them, whose boxes drop each other's repeats.
 #[test]
 fn a_keyed_repeat_stays_in_its_zone_named_or_not() {
