Calls for the list end in time, and an older list undoes nothing

Cause, found by reading and shown by tests. Pushed lists: a watch was given up after 4.5 s of silence, and a next call that brought a head and no more had as long again: 14.2 s until the list was there, where 6 s are the rule. Lists that are asked for: the wait after a refusal grew to 150 s at 300 hosts, a call could wait 5 s. While discovery moves two watches are open, and a whole list of the new address that was older undid what the old one had told (a drain).

Change: one clock of 3 s (a line comes every 2 s; calls cost nothing where lists are pushed), and the first word after a head within 0.5 s (1 s where asked for). Asked for: a call may take 2.5 s, the wait after it 1 s, after a refusal 3.5 s, after a break a spread of 1.5 s, at any number of hosts: each leaves 1.5 to 2.5 s for the next call. 300 hosts over 3.5 s are 86 calls a second; a service that does fewer than 50 can't bring all within 6 s, whoever waits how long. So a host whose calls are answered with refusals alone for 6 s takes every change for told: nothing new is sent (Input::Stale), its requests are refused, and only then its wait grows as before, so that the queue empties (the test of overbooked services is unchanged in what it asks). Not on silence: that may be an outage, which tells nothing. What is older than what is known is passed over, and a whole list of it asked for again; after 15 s it counts, for discovery may have been set back.

Ruled out: waits that grow from the first refusal on (the rule), waits that never grow (100 hosts at 10 calls a second: most never had the list in the test). Tests red without: 6.2 and 14.2 s, 'older news counted', no refusal in 120 s.

--- a/crates/core/src/asking.rs
+++ b/crates/core/src/asking.rs
@@ -10,20 +10,39 @@
 use crate::measure::{backoff, scramble};
 use std::time::Duration;
 
+/// A change counts as told so long after discovery had it and could be reached, whatever became of the calls before.
+/// A call that is given up, the wait after it and the next call's answer together take no longer, at any fleet's size.
+pub const TOLD: Duration = Duration::from_secs(6);
+/// Discovery sends at least an empty line every 2 s: a watch on which nothing has come for so long is broken.
+const SILENT: Duration = Duration::from_secs(3);
 /// The first and the longest wait where asking costs nothing.
 const FREE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
 /// An agent that answers at once and is silent for so long is down, or the call is lost: another one costs nothing.
 const AT_ONCE: Duration = Duration::from_millis(500);
-/// A call that waits its turn may take so long.
-const IN_TURN: Duration = Duration::from_secs(5);
-/// Where it costs: the first wait after a call was turned away, and what each host adds to the longest one, so that a
-/// service which has room for two calls a second comes out of any queue,
+/// A call that waits its turn may take so long,
+const IN_TURN: Duration = Duration::from_millis(2500);
+/// and what it brings so long from its head on.
+const FIRST_WORD: Duration = Duration::from_millis(1000);
+/// Where it costs: the first wait after a call was turned away.
 const DEAR: Duration = Duration::from_millis(500);
-/// the longest wait of a few hosts,
+/// The longest wait of a few hosts that were refused for longer than that, and what each host adds to it: where all
+/// can't have their turn in that time, a queue of calls that nobody waits for any more lets nobody have it. Who is
+/// refused so long sends nothing new meanwhile, for changes count as told; two calls a second come out of any queue.
 const LONGEST: Duration = Duration::from_secs(10);
-/// and what each adds to the span over which all spread what they do at the same instant.
+/// What each host adds to the span over which all spread what they do at the same instant.
 const EACH: Duration = Duration::from_millis(20);
 
+/// How a call or a watch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Over {
+    /// The connection broke or fell silent, perhaps everywhere at once.
+    Broke,
+    /// The service answered that it could not serve the call.
+    Refused,
+    /// There was no answer in the time that a call may take.
+    GivenUp,
+}
+
 /// One host's asking.
 #[derive(Clone, Debug)]
 pub struct Asking {
@@ -56,16 +75,39 @@
         }
     }
 
-    /// How long after a call or a watch failed a host asks again. `brought`: it had brought news. `refused`: the
-    /// service answered that it could not serve it; else it broke, perhaps everywhere at once.
-    pub fn again(&mut self, set: &Settings, brought: bool, refused: bool) -> Duration {
+    /// How long the first object or sign of life may take once an answer has begun.
+    pub fn first_word(set: &Settings) -> Duration {
+        if set.list_on_request {
+            FIRST_WORD
+        } else {
+            AT_ONCE
+        }
+    }
+
+    /// A watch on which nothing whole came for so long has fallen silent.
+    pub fn silence() -> Duration {
+        SILENT
+    }
+
+    /// How long after a call or a watch ended a host asks again. `brought`: it had brought news. `refused_for`: how
+    /// long its calls have been answered with refusals, and with nothing else.
+    pub fn again(&mut self, set: &Settings, brought: bool, over: Over, refused_for: Duration) -> Duration {
         self.failures = if brought { 1 } else { self.failures.saturating_add(1) };
         if !set.list_on_request {
             return if brought { FREE.0 / 2 } else { backoff(FREE.0, FREE.1, self.failures) };
         }
-        let wait =
-            if refused { backoff(DEAR, LONGEST.max(set.hosts * DEAR), self.failures) } else { together(set) };
-        wait / 2 + self.within(wait)
+        // Of the time that the rule leaves, the next call may take as long as one that waits its turn; a call that
+        // was given up has had the other part.
+        let left = TOLD - IN_TURN;
+        let wait = match over {
+            Over::Broke => return self.within(together(set)),
+            Over::Refused if refused_for >= TOLD => {
+                backoff(DEAR, LONGEST.max(set.hosts * DEAR), self.failures)
+            }
+            Over::Refused => backoff(DEAR, left, self.failures),
+            Over::GivenUp => backoff(DEAR, left - IN_TURN, self.failures),
+        };
+        wait / 2 + self.within(wait / 2)
     }
 
     fn within(&mut self, span: Duration) -> Duration {
@@ -75,8 +117,9 @@
     }
 }
 
-/// The span over which all hosts spread what they do at the same instant: well before they have to have asked.
+/// The span over which all hosts spread what they do at the same instant: a watch that fell silent is asked for again
+/// before what it missed counts as told, with time for its turn.
 fn together(set: &Settings) -> Duration {
-    let within = Some(set.rules.ask_within).filter(|within| !within.is_zero()).unwrap_or(LONGEST);
-    (set.hosts * EACH).min(within / 4)
+    let within = Some(set.rules.ask_within).filter(|within| !within.is_zero()).unwrap_or(TOLD);
+    (set.hosts * EACH).min(within / 4).min((TOLD - SILENT) / 2)
 }
--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -132,6 +132,8 @@
     Part(f64),
     /// The list that is followed says that nothing has changed.
     Current,
+    /// Changes of the list count as told that this host can't have heard, or it hears of them again.
+    Stale(bool),
     /// What a peer told, and the round trip of that exchange.
     Told(Observer, Duration, Vec<Told>),
     /// A wait is over.
@@ -270,6 +272,8 @@
     heard: BTreeMap<String, Heard>,
     drained: Option<Duration>,
     revision: u64,
+    /// Nothing new goes to any box: each may have begun to drain.
+    stale: bool,
     tallies: Vec<(String, Tally)>,
     told_at: Duration,
     ends: BTreeMap<String, u64>,
@@ -294,6 +298,7 @@
             heard: BTreeMap::new(),
             drained: None,
             revision: 0,
+            stale: false,
             told_at: at,
             ends: BTreeMap::new(),
             peers: None,
@@ -357,6 +362,11 @@
                 self.peers.iter_mut().for_each(|peers| peers.listed(at));
                 review = true;
             }
+            Input::Stale(stale) => {
+                self.stale = stale;
+                let lines = self.heard.keys().filter_map(|id| self.line(id)).collect();
+                events.push(Event::List { kind: ListKind::Changes, lines });
+            }
             Input::Told(from, trip, told) => {
                 let heard = self.peers.as_mut().map(|peers| peers.hear(at, trip, &from, told));
                 if let Some(unsound) = heard.map(|refused| refused.unsound).filter(|n| *n > 0) {
@@ -693,7 +703,7 @@
         let heard = self.heard.get(id)?;
         let member = &heard.member;
         let advice = self.peers.as_ref().map(|peers| peers.advice(id)).unwrap_or_default();
-        let stopped = heard.suspended || advice.stop_until.is_some();
+        let stopped = heard.suspended || self.stale || advice.stop_until.is_some();
         let out = stopped && member.readiness == Readiness::Ready;
         Some(NodeLine {
             node: node_number(id),
--- a/crates/core/tests/asking.rs
+++ b/crates/core/tests/asking.rs
@@ -1,12 +1,13 @@
 //! Many hosts that ask one service of fixed capacity for the list.
 
-use shaletack_core::asking::Asking;
+use shaletack_core::asking::{Asking, Over};
 use shaletack_core::interface::{Rules, Settings};
 use std::collections::VecDeque;
 use std::time::Duration;
 
 const MS: Duration = Duration::from_millis(1);
 const S: Duration = Duration::from_secs(1);
+const ZERO: Duration = Duration::ZERO;
 
 fn settings(hosts: u32, list_on_request: bool) -> Settings {
     let rules = Rules { ask_within: 10 * S, ..Rules::default() };
@@ -20,14 +21,14 @@
     let set = settings(100, true);
     let mut asking: Vec<Asking> = (0..100).map(|host| Asking::new(host * 7919)).collect();
     let mut next: Vec<Option<Duration>> =
-        asking.iter_mut().map(|a| Some(a.again(&set, true, false))).collect();
+        asking.iter_mut().map(|a| Some(a.again(&set, true, Over::Broke, ZERO))).collect();
     let (mut queue, mut back): (VecDeque<(Duration, usize)>, _) = (VecDeque::new(), vec![None; 100]);
     let (mut now, mut free) = (Duration::ZERO, Duration::ZERO);
     while now < 800 * each {
         now += MS;
         // Callers leave; what they asked for stays in the queue.
         for (at, host) in queue.iter_mut().filter(|(at, host)| *host < 100 && *at + 2 * S <= now) {
-            next[*host] = Some(now + asking[*host].again(&set, false, true));
+            next[*host] = Some(now + asking[*host].again(&set, false, Over::Refused, now));
             (*at, *host) = (now, usize::MAX);
         }
         if free <= now {
@@ -41,7 +42,7 @@
         for host in 0..100 {
             if next[host].is_some_and(|at| at <= now) {
                 let fits = queue.len() < room;
-                next[host] = (!fits).then(|| now + asking[host].again(&set, false, true));
+                next[host] = (!fits).then(|| now + asking[host].again(&set, false, Over::Refused, now));
                 if fits {
                     queue.push_back((now, host));
                 }
@@ -76,11 +77,33 @@
     assert!(firsts(&settings(3, true)).iter().all(|w| *w <= 60 * MS), "a small fleet starts at once");
 }
 
+/// Found by reading: the wait after a refusal grew to 150 s at 300 hosts, and a call could wait 5 s in turn, while a change
+/// counts as told 6 s after discovery had it and could be reached. Whatever came before, the next call is in time.
+#[test]
+fn no_wait_outlasts_the_time_in_which_a_change_counts_as_told() {
+    for hosts in [1, 3, 100, 300] {
+        let set = settings(hosts, true);
+        for (over, before) in
+            [(Over::Broke, Asking::silence()), (Over::Refused, ZERO), (Over::GivenUp, Asking::patience(&set))]
+        {
+            let mut asking = Asking::new(u64::from(hosts));
+            let waits: Vec<Duration> = (0..40).map(|_| asking.again(&set, false, over, 5 * S)).collect();
+            let most = before + *waits.iter().max().unwrap();
+            // At least a second and a half is left for the call that brings it.
+            assert!(most <= 4 * S + 500 * MS, "{hosts} hosts, {over:?}: {most:?}");
+            // They do not come together.
+            let spread = waits.iter().max().unwrap().saturating_sub(*waits[20..].iter().min().unwrap());
+            assert!(hosts < 100 || spread >= 400 * MS, "{hosts} hosts, {over:?}: {waits:?}");
+        }
+    }
+}
+
 /// Beside the host a watch is opened again at once, and soon even if the agent stays away.
 #[test]
 fn an_agent_beside_the_host_is_asked_again_soon() {
     let mut asking = Asking::new(1);
     let set = settings(100, false);
-    let waits: Vec<Duration> = (0..6).map(|n| asking.again(&set, n == 0, n % 2 == 1)).collect();
+    let waits: Vec<Duration> =
+        (0..6).map(|n| asking.again(&set, n == 0, [Over::Broke, Over::GivenUp][n % 2], ZERO)).collect();
     assert!(waits[0] <= 50 * MS && waits.iter().all(|w| *w <= 500 * MS), "{waits:?}");
 }
--- a/src/etcd.rs
+++ b/src/etcd.rs
@@ -8,7 +8,7 @@
 use crate::members::{self, Member, Members};
 use crate::operator::Etcd;
 use crate::runtime::host::Host;
-use crate::runtime::objects::{self, Objects, SILENT};
+use crate::runtime::objects::{self, Objects};
 use awc::{Client, Connector};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
@@ -17,7 +17,10 @@
 
 const ANSWER: Duration = Duration::from_secs(3);
 const FIRST_WAIT: Duration = Duration::from_millis(100);
-const LONGEST_WAIT: Duration = Duration::from_secs(5);
+/// A change counts as told 6 s after etcd had it and could be reached: a call that fails and the wait after it take less.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+/// etcd says nothing while nothing changes; after so long the whole list tells whether a watch only seems to be open.
+const SILENT: Duration = Duration::from_millis(4500);
 const LIST_MOST: usize = 4 << 20;
 
 /// Why a watch ended.
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -1,15 +1,16 @@
 //! The watch of discovery: the list as it changes, followed for as long as the program runs.
 
-use crate::asking::Asking;
+use crate::asking::{Asking, Over, TOLD};
 use crate::broker::Input;
-use crate::members;
+use crate::interface::ListKind;
+use crate::members::{self, Members};
 use crate::runtime::host::Host;
-use crate::runtime::objects::{Objects, SILENT};
+use crate::runtime::objects::Objects;
 use awc::{Client, Connector};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tracing::{info, warn};
@@ -17,6 +18,9 @@
 /// What the agent has counts as told from the first moment on, and it answers at once: a new process waits for its
 /// first word before clients come, but no longer than this, for it is silent while discovery is down.
 const FIRST_WORD: Duration = Duration::from_millis(300);
+/// Versions only grow, so a whole list of an older one comes from an agent that is behind, and must not undo what is
+/// known. One that still comes so long after the last that was not older is discovery's own, set back.
+const SET_BACK: Duration = Duration::from_secs(15);
 
 /// A task that ends with its owner.
 struct Task(AbortHandle);
@@ -31,18 +35,25 @@
 pub struct Watch {
     host: Host,
     agent: SocketAddr,
-    revision: Rc<Cell<u64>>,
-    asking: Rc<RefCell<Asking>>,
+    heard: Rc<Heard>,
+    seed: u64,
     spoke: Rc<Notify>,
     task: Option<Task>,
 }
 
+/// What was heard last, of whatever address.
+struct Heard {
+    revision: Cell<u64>,
+    at: Cell<Instant>,
+    stale: Cell<bool>,
+}
+
 impl Watch {
     /// Follows the list from a revision on; `seed` spreads the calls of many initiators.
     pub fn start(host: Host, agent: SocketAddr, revision: u64, seed: u64) -> Self {
-        let asking = Rc::new(RefCell::new(Asking::new(seed)));
-        let (revision, spoke) = (Rc::new(Cell::new(revision)), Rc::new(Notify::new()));
-        let mut watch = Watch { host, agent, revision, asking, spoke, task: None };
+        let (revision, at) = (Cell::new(revision), Cell::new(Instant::now()));
+        let heard = Rc::new(Heard { revision, at, stale: Cell::new(false) });
+        let mut watch = Watch { host, agent, heard, seed, spoke: Rc::new(Notify::new()), task: None };
         watch.follow();
         watch
     }
@@ -71,8 +82,9 @@
         let following = Following {
             host: self.host.clone(),
             agent: self.agent,
-            revision: self.revision.clone(),
-            asking: self.asking.clone(),
+            heard: self.heard.clone(),
+            asking: Asking::new(self.seed),
+            refused: None,
             spoke: self.spoke.clone(),
             replaced: self.task.take(),
         };
@@ -84,8 +96,10 @@
 struct Following {
     host: Host,
     agent: SocketAddr,
-    revision: Rc<Cell<u64>>,
-    asking: Rc<RefCell<Asking>>,
+    heard: Rc<Heard>,
+    asking: Asking,
+    /// Since when its calls are answered with refusals, and with nothing else.
+    refused: Option<Instant>,
     spoke: Rc<Notify>,
     /// The watch that goes on until this one has brought something.
     replaced: Option<Task>,
@@ -96,47 +110,97 @@
         let connector = Connector::new().timeout(Duration::from_secs(2)).conn_lifetime(Duration::MAX);
         let client = Client::builder().connector(connector).disable_redirects().disable_timeout().finish();
         if self.replaced.is_none() {
-            let first = self.asking.borrow_mut().first(&self.host.settings());
+            let first = self.asking.first(&self.host.settings());
             tokio::time::sleep(first).await;
         }
         loop {
-            let before = self.revision.get();
-            let (why, refused) = self.watch_once(&client).await;
-            let (at, agent) = (self.revision.get(), self.agent);
-            let wait = self.asking.borrow_mut().again(&self.host.settings(), at > before, refused);
+            let before = self.heard.revision.get();
+            let (over, why) = self.watch_once(&client).await;
+            let (at, agent) = (self.heard.revision.get(), self.agent);
+            let now = Instant::now();
+            self.refused = (over == Over::Refused).then(|| self.refused.unwrap_or(now));
+            let refused_for = self.refused.map_or(Duration::ZERO, |since| now - since);
+            let wait = self.asking.again(&self.host.settings(), at > before, over, refused_for);
             warn!(%agent, revision = at, %why, again_in_ms = wait.as_millis() as u64, "the watch of the list ended");
-            tokio::time::sleep(wait).await;
+            self.rest(now + wait).await;
         }
     }
 
-    /// Follows the list until that ends: why, and whether it was turned away.
-    async fn watch_once(&mut self, client: &Client) -> (String, bool) {
-        let url = format!("http://{}/catalog/members?stream=1&index={}", self.agent, self.revision.get());
-        let patience = Asking::patience(&self.host.settings());
+    /// Waits; where refusals go on for so long that changes count as told, nothing new is sent from then on.
+    async fn rest(&self, until: Instant) {
+        let blind_at = self.refused.map(|since| since + TOLD);
+        let listed = self.host.settings().list_on_request;
+        if let Some(at) = blind_at.filter(|at| listed && *at < until) {
+            tokio::time::sleep_until(at.into()).await;
+            if !self.heard.stale.replace(true) {
+                warn!(agent = %self.agent, "discovery has refused all calls for 6 s: nothing new is sent until it lists");
+                self.host.feed(Input::Stale(true));
+            }
+        }
+        tokio::time::sleep_until(until.into()).await;
+    }
+
+    /// Follows the list until that ends: how, and why.
+    async fn watch_once(&mut self, client: &Client) -> (Over, String) {
+        let revision = self.heard.revision.get();
+        let url = format!("http://{}/catalog/members?stream=1&index={revision}", self.agent);
+        let settings = self.host.settings();
+        let patience = Asking::patience(&settings);
         let response = match tokio::time::timeout(patience, client.get(url).send()).await {
             Ok(Ok(response)) if response.status().is_success() => response,
-            Ok(Ok(response)) => return (format!("answered {}", response.status()), true),
-            Ok(Err(error)) => return (format!("could not be asked: {error}"), false),
-            Err(_) => return ("no answer".into(), true),
+            Ok(Ok(response)) => return (Over::Refused, format!("answered {}", response.status())),
+            Ok(Err(error)) => return (Over::Broke, format!("could not be asked: {error}")),
+            Err(_) => return (Over::GivenUp, "no answer".into()),
         };
-        let mut objects = Objects::new(response);
+        let (mut objects, mut first) = (Objects::new(response), Some(Asking::first_word(&settings)));
         loop {
-            let object = match objects.next(SILENT).await {
-                Ok(object) => object,
-                Err(why) => return (why.to_string(), false),
+            // What an agent holds it tells at once: a head and no more is as good as none.
+            let next = objects.next(Asking::silence());
+            let next = match first.take() {
+                Some(first) => tokio::time::timeout(first, next).await,
+                None => Ok(next.await),
+            };
+            let object = match next {
+                Ok(Ok(object)) => object,
+                Ok(Err(why)) => return (Over::Broke, why.to_string()),
+                Err(_) => return (Over::GivenUp, "a head and nothing behind it".into()),
             };
             if let Some(mut text) = object {
                 match members::read(&mut text) {
                     Ok((members, faults)) => {
                         faults.iter().for_each(|why| warn!(%why, "an entry of the list is passed over"));
-                        self.revision.set(members.revision);
-                        self.host.feed(Input::List(members));
+                        if let Err(why) = self.take(members) {
+                            return (Over::Broke, why);
+                        }
                     }
-                    Err(fault) => return (format!("unreadable: {fault}"), false),
+                    Err(fault) => return (Over::Broke, format!("unreadable: {fault}")),
                 }
             }
+            if self.heard.stale.replace(false) {
+                info!(agent = %self.agent, "discovery lists again");
+                self.host.feed(Input::Stale(false));
+            }
             drop(self.replaced.take());
             self.spoke.notify_one();
         }
     }
+
+    /// Two watches may be open while discovery moves, and the newer may lag: what is older than what is known is none
+    /// of its news.
+    fn take(&self, members: Members) -> Result<(), String> {
+        let known = self.heard.revision.get();
+        if members.revision < known && self.heard.at.get().elapsed() < SET_BACK {
+            return match members.kind {
+                ListKind::Changes => Ok(()),
+                _ => Err(format!("its list is of revision {}, and {known} is known", members.revision)),
+            };
+        }
+        if members.revision < known {
+            warn!(from = known, to = members.revision, agent = %self.agent, "discovery was set back: its list counts");
+        }
+        self.heard.revision.set(members.revision);
+        self.heard.at.set(Instant::now());
+        self.host.feed(Input::List(members));
+        Ok(())
+    }
 }
--- a/src/runtime/objects.rs
+++ b/src/runtime/objects.rs
@@ -8,11 +8,6 @@
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
-/// A watch of the list on which nothing has come for so long is broken. Discovery sends at least an empty line
-/// every 2 s, so two were missed. What it has to tell counts as told 6 s after the silence began: that leaves
-/// time for several calls to bring it.
-pub const SILENT: Duration = Duration::from_millis(4500);
-
 const OBJECT_MOST: usize = 4 << 20;
 
 /// Why there is no next object.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,8 +3,14 @@
 
 mod common;
 use common::net::*;
+use shaletack::interface::Settings;
+use shaletack::net::watch::Watch;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, Interest};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// How long it takes until that holds.
 async fn until(holds: impl Fn() -> bool) -> Duration {
@@ -83,3 +89,153 @@
         assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
     });
 }
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// The list at a revision: one box, in that phase.
+fn listed(revision: u64, phase: &str) -> String {
+    chunk(&format!(
+        r#"{{"revision":{revision},"complete":true,"members":[{{"id":"s-1","host_port":"127.0.0.1:9","cell":0,"phase":"{phase}"}}]}}"#
+    ))
+}
+
+/// Says this and stays until the other side ends it.
+async fn say(stream: &mut BufReader<TcpStream>, text: &str) {
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let _ = stream.read(&mut [0]).await;
+}
+
+/// A watch falls silent, and so do all ways in which the next calls can: what the agent holds is there before 6 s are
+/// over. A head with nothing behind it took the time of a whole silence once more.
+#[test]
+fn whatever_next_calls_bring_a_silent_watch_is_replaced_within_six_seconds() {
+    story(async {
+        let ways: [fn(&str) -> String; 4] = [
+            |_| String::new(),
+            |_| HEAD.into(),
+            |_| format!("{HEAD}{}", chunk("{\"revision\":43,\"complete\":true,\"mem")),
+            |_| format!("{HEAD}{}", chunk("\n")),
+        ];
+        let stories = ways.map(|way| async move {
+            let agent = peer(move |stream, number| async move {
+                let mut s = BufReader::new(stream);
+                message(&mut s).await;
+                match number {
+                    // The first falls silent after a sign of life.
+                    0 => say(&mut s, &format!("{HEAD}{}", chunk("\n"))).await,
+                    1 | 2 => say(&mut s, &way("")).await,
+                    _ => say(&mut s, &format!("{HEAD}{}", listed(43, "up"))).await,
+                }
+            })
+            .await;
+            let host = host(
+                &operator(&[("127.0.0.1:9".parse().unwrap(), 0), ("127.0.0.1:9".parse().unwrap(), 1)])
+                    .settings,
+            );
+            let start = Instant::now();
+            let _watch = Watch::start(host.clone(), agent, 41, 1);
+            until(|| host.is_ready()).await;
+            start.elapsed()
+        });
+        let took = futures_util::future::join_all(stories).await;
+        // The last of them says that all is well each time, and falls silent again: two silences.
+        assert!(took[..3].iter().all(|t| *t < Duration::from_secs(6)), "{took:?}");
+    });
+}
+
+/// While discovery moves two watches are open. What the new address lists at first may be older than what the old one
+/// has told since: it undid a drain.
+#[test]
+fn an_older_list_of_a_new_address_undoes_nothing() {
+    story(async {
+        let (tell, told) = (Rc::new(Notify::new()), Rc::new(Cell::new(0)));
+        let waits = tell.clone();
+        let old = peer(move |stream, _| {
+            let waits = waits.clone();
+            async move {
+                let mut s = BufReader::new(stream);
+                message(&mut s).await;
+                s.write_all(format!("{HEAD}{}", listed(43, "up")).as_bytes()).await.unwrap();
+                waits.notified().await;
+                say(&mut s, &listed(50, "draining")).await;
+            }
+        })
+        .await;
+        // The first new address never speaks, the next is behind, and then not.
+        let dumb = peer(|stream, _| async move {
+            let _ = BufReader::new(stream).read(&mut [0; 4096]).await;
+            std::future::pending().await
+        })
+        .await;
+        let calls = told.clone();
+        let new = peer(move |stream, number| {
+            let calls = calls.clone();
+            async move {
+                let mut s = BufReader::new(stream);
+                message(&mut s).await;
+                calls.set(number + 1);
+                let list = if number < 3 { listed(45, "up") } else { listed(51, "removed") };
+                say(&mut s, &format!("{HEAD}{list}")).await
+            }
+        })
+        .await;
+        let nowhere = "127.0.0.1:9".parse().unwrap();
+        let host = host(&operator(&[(nowhere, 0), (nowhere, 1)]).settings);
+        let mut watch = Watch::start(host.clone(), old, 41, 1);
+        until(|| host.look(|b| b.revision()) == 43).await;
+        tell.notify_one();
+        until(|| host.look(|b| b.revision()) == 50).await;
+        watch.move_to(dumb);
+        watch.move_to(new);
+        until(|| {
+            assert!(host.look(|b| b.revision()) >= 50, "older news counted");
+            told.get() >= 3
+        })
+        .await;
+        until(|| !host.is_ready()).await;
+        assert_eq!(host.look(|b| b.revision()), 51);
+    });
+}
+
+/// Where the list has to be asked for, a host that is refused for so long that changes count as told sends nothing new.
+#[test]
+fn a_host_that_discovery_refuses_for_six_seconds_sends_nothing_new_until_it_lists() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"ok", 0), false))).await;
+        let full = Rc::new(Cell::new(true));
+        let refuses = full.clone();
+        let agent = peer(move |stream, _| {
+            let refuses = refuses.clone();
+            async move {
+                let mut s = BufReader::new(stream);
+                message(&mut s).await;
+                match refuses.get() {
+                    true => s.write_all(&answer("503 Service Unavailable", b"", 0)).await.unwrap(),
+                    false => say(&mut s, &format!("{HEAD}{}", chunk("\n"))).await,
+                }
+            }
+        })
+        .await;
+        let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+        let settings = Settings { list_on_request: true, ..Settings::clone(&host.settings()) };
+        host.feed(shaletack::broker::Input::Settings(Box::new(settings)));
+        let start = Instant::now();
+        let _watch = Watch::start(host.clone(), agent, 1, 1);
+        let mut client = HttpClient::connect(front).await;
+        let request = || platform_request("GET", "leitura", 0, 1, b"");
+        assert_eq!(client.ask(&request()).await.0, 200);
+        while client.ask(&request()).await.0 == 200 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!((5.9..7.5).contains(&start.elapsed().as_secs_f64()), "{:?}", start.elapsed());
+        let seen = boxed.seen.borrow().len();
+        assert_eq!(client.ask(&request()).await.0, 503);
+        assert_eq!(boxed.seen.borrow().len(), seen);
+        full.set(false);
+        while client.ask(&request()).await.0 != 200 {}
+    });
+}
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -8,7 +8,7 @@
 use shaletack::interface::Ending;
 use shaletack::nbd::codec::{cmd, errno};
 use shaletack::net::watch::Watch;
-use shaletack::runtime::objects::{Objects, Over, SILENT};
+use shaletack::runtime::objects::{Objects, Over};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 
@@ -510,7 +510,7 @@
                 let mut objects = Objects::new(stream::iter(pieces.collect::<Vec<_>>()));
                 let mut found = Vec::new();
                 let over = loop {
-                    match objects.next(SILENT).await {
+                    match objects.next(Duration::from_secs(1)).await {
                         Ok(object) => found.extend(object),
                         Err(over) => break over,
                     }
@@ -525,7 +525,7 @@
             }
         }
         let spoilt = stream::iter([Ok::<_, String>(Bytes::from_static(b"<html>"))]);
-        assert!(matches!(Objects::new(spoilt).next(SILENT).await, Err(Over::Unreadable(_))));
+        assert!(matches!(Objects::new(spoilt).next(Duration::from_secs(1)).await, Err(Over::Unreadable(_))));
     });
 }
 
