Connections to boxes follow the settings in force, and are bounded idle ones included

Cause, found by reading and shown by tests: Boxes::new took keepalive and connect time once, so both stayed as at the start after SIGHUP. An attempt that waited for one of the places was not bounded by the connect time, though a keyed repeat leaves just that of what its box remembers. The place was given back while the answer's connection was still read, by a task without a bound. Idle connections were counted nowhere. A second answer that came behind the next request's start was taken for its answer. No descriptor left counted as a box that had restarted.

Change: Boxes looks at the host's settings and begins its clients anew where the times changed; a place and a connection together have the connect time, and X-Expires-In is told when the place is there; the place goes with the task that reads the end, which is bounded; past the places as many idle connections go, longest unused first; a box that sent what belongs to no request has one request on each connection for 30 s (stream.rs Manner); End::NoDescriptor is Void.

Tests red without: connections [0, 0] for [2, 1], a hang, the last request's answer in place of the own one. Not done: longer rests before a connection is used again, for want of a count of late second answers.

--- a/crates/core/src/ending.rs
+++ b/crates/core/src/ending.rs
@@ -37,8 +37,10 @@
     CalledOff,
     /// It was never begun: the box's address is not known any more.
     NoAddress,
-    /// It was never written: its box took no new work before a connection was there.
+    /// It was never written: its box took no new work, or its client left, before a connection was there.
     Recalled,
+    /// It was never begun: this process had no descriptor left, which says nothing of the box.
+    NoDescriptor,
 }
 
 impl End {
@@ -55,7 +57,7 @@
             End::BrokeWriting | End::BrokeWaiting | End::HalfAnswer => Ending::Broken,
             End::Silent => Ending::TimedOut,
             End::CalledOff => Ending::Cancelled,
-            End::NoAddress | End::Recalled => Ending::Void,
+            End::NoAddress | End::Recalled | End::NoDescriptor => Ending::Void,
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -341,7 +341,7 @@
         settings,
         text,
     } = config;
-    let host = start(settings.clone(), seed, None);
+    let host = start(settings, seed, None);
     info!(name, boxes = known.entries.len(), revision = known.revision, "starts");
     passed_over.iter().for_each(|why| warn!(%why, "an entry of the list is passed over"));
     host.feed(Input::List(known));
@@ -391,7 +391,7 @@
     };
     let listener = listener.map_err(|e| format!("{listen}: {e}"))?;
     info!(at = %listener.local_addr().map_err(|e| format!("{listen}: {e}"))?, name, "listens for HTTP");
-    let boxes = boxes::Boxes::new(&settings, rest / 4);
+    let boxes = boxes::Boxes::new(&host, rest / 4);
     // Where memory is short there is room for fewer connections than descriptors.
     let room = match memory_mb {
         0 => usize::MAX,
--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -1,10 +1,10 @@
 //! Attempts at disk boxes, over HTTP with awc.
 
-use super::stream::{BoxStream, Idling, NEWS};
+use super::stream::{BoxStream, Counted, Idling, Manner, NEWS};
 use crate::broker::{News, Reply};
 use crate::ending::End;
 use crate::interface::Settings;
-use crate::runtime::host::{Errand, Tell};
+use crate::runtime::host::{Errand, Host, Tell};
 use actix_http::body::{BodyStream, SizedStream};
 use actix_http::error::ParseError;
 use actix_http::header::HeaderValue;
@@ -51,55 +51,90 @@
 /// The connections to boxes: a client for each address. One unused for as long as its connections may be
 /// idle is dropped with them: boxes are replaced all day, and awc looks at idle ones only before their use.
 pub struct Boxes {
+    host: Host,
     clients: RefCell<HashMap<SocketAddr, (Client, Instant)>>,
-    idle: Duration,
+    times: Cell<Times>,
     idling: Rc<Idling>,
-    connect: Duration,
+    most: usize,
+    open: Rc<Cell<usize>>,
     permits: Arc<Semaphore>,
 }
 
-impl Boxes {
-    /// No more than `most` connections are in use at a time.
-    pub fn new(set: &Settings, most: usize) -> Rc<Self> {
+/// What the settings in force say of connections.
+#[derive(Clone, Copy, PartialEq)]
+struct Times {
+    idle: Duration,
+    connect: Duration,
+}
+
+impl Times {
+    fn of(set: &Settings) -> Self {
         let or = |span: Duration, default| if span.is_zero() { default } else { span };
         // A connection idle for as long as the box keeps it would be closed under the next request.
         let idle = or(set.keepalive * 6 / 10, Duration::from_secs(5));
+        Times { idle, connect: or(set.connect_timeout, Duration::from_millis(250)) }
+    }
+}
+
+impl Boxes {
+    /// No more than `most` connections are in use at a time, and no more idle ones are kept beside them.
+    pub fn new(host: &Host, most: usize) -> Rc<Self> {
+        let times = Times::of(&host.settings());
         Rc::new(Boxes {
+            host: host.clone(),
             clients: RefCell::default(),
-            idle,
-            idling: Rc::new(Idling::new(idle)),
-            connect: or(set.connect_timeout, Duration::from_millis(250)),
+            times: Cell::new(times),
+            idling: Rc::new(Idling::new(times.idle)),
+            most,
+            open: Rc::default(),
             permits: Arc::new(Semaphore::new(most)),
         })
     }
 
+    /// What holds now: settings may be newer than the last time.
+    fn times(&self) -> Times {
+        let times = Times::of(&self.host.settings());
+        if self.times.replace(times) != times {
+            // Each client keeps the times that it was made with.
+            self.clients.borrow_mut().clear();
+            self.idling.retune(times.idle);
+        }
+        times
+    }
+
     fn client(&self, to: SocketAddr) -> Client {
-        let (now, mut clients) = (Instant::now(), self.clients.borrow_mut());
-        clients.retain(|at, (_, used)| *at == to || now < *used + self.idle);
-        let (client, used) = clients.entry(to).or_insert_with(|| (self.build(), now));
+        let (times, now, mut clients) = (self.times(), Instant::now(), self.clients.borrow_mut());
+        clients.retain(|at, (_, used)| *at == to || now < *used + times.idle);
+        // Idle connections go before those in use run out of descriptors, longest unused first.
+        while self.open.get() >= self.most {
+            let others = clients.iter().filter(|(at, _)| **at != to);
+            let Some(oldest) = others.min_by_key(|(_, (_, used))| *used).map(|(at, _)| *at) else { break };
+            clients.remove(&oldest);
+        }
+        let (client, used) = clients.entry(to).or_insert_with(|| (self.build(times), now));
         *used = now;
         client.clone()
     }
 
     /// Redirects would send a request once more by themselves, and awc's own time-out would end attempts
     /// that the core still waits for: both are off.
-    fn build(&self) -> Client {
-        let idling = self.idling.clone();
+    fn build(&self, times: Times) -> Client {
+        let (manner, open) = (Rc::new(Manner::new(self.idling.clone())), self.open.clone());
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
-            let idling = idling.clone();
+            let (manner, open) = (manner.clone(), open.clone());
             async move {
                 let uri = info.request().clone();
                 let place = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
                 let socket =
                     TcpStream::connect(place.ok_or(TcpError::Unresolved)?).await.map_err(TcpError::Io)?;
                 let _ = socket.set_nodelay(true);
-                Ok::<_, TcpError>(Connection::new(uri, BoxStream::new(socket, idling)))
+                Ok::<_, TcpError>(Connection::new(uri, BoxStream::new(socket, manner, Counted::new(&open))))
             }
         });
         let connector = Connector::new()
             .connector(connect)
-            .timeout(self.connect)
-            .conn_keep_alive(self.idle)
+            .timeout(times.connect)
+            .conn_keep_alive(times.idle)
             .conn_lifetime(Duration::from_secs(24 * 3600))
             .max_http_version(actix_http::Version::HTTP_11)
             .limit(0);
@@ -236,21 +271,30 @@
 
 impl Errand for Passed {
     fn attempt(&self, to: SocketAddr, wait: Duration, tell: Tell) -> LocalBoxFuture<'static, Reply> {
-        let boxes = self.boxes.clone();
-        let mut request = boxes
-            .client(to)
-            .request(self.method.clone(), format!("http://{to}{}", self.target))
-            .insert_header(("X-Trace-Id", self.trace.clone()))
-            .insert_header(("X-Expires-In", format!("{:.3}", wait.as_secs_f64())));
-        if let Some(key) = &self.key {
-            request = request.insert_header((IDEMPOTENCY_KEY, key.clone()));
-        }
+        let (boxes, began) = (self.boxes.clone(), Instant::now());
+        let (method, uri) = (self.method.clone(), format!("http://{to}{}", self.target));
+        let (trace, key) = (self.trace.clone(), self.key.clone());
         let (body, rest, bare) = (self.body.clone(), self.rest.clone(), self.method == Method::HEAD);
-        let tell = Rc::new(tell);
+        let connect = boxes.times().connect;
+        let writes = Rc::new(Cell::new(false));
+        let wrote = writes.clone();
+        let tell: Rc<Tell> = Rc::new(Box::new(move |news| {
+            writes.set(writes.get() || news == News::Writes);
+            tell(news);
+        }));
         let news = tell.clone();
         let attempt = async move {
             // Never closed; each is given back when its attempt ends, by whatever.
             let permit = boxes.permits.clone().acquire_owned().await.ok();
+            let wait = wait.saturating_sub(began.elapsed());
+            let mut request = boxes
+                .client(to)
+                .request(method, uri)
+                .insert_header(("X-Trace-Id", trace))
+                .insert_header(("X-Expires-In", format!("{:.3}", wait.as_secs_f64())));
+            if let Some(key) = key {
+                request = request.insert_header((IDEMPOTENCY_KEY, key));
+            }
             let (sent, upload) = match body {
                 Carried::Whole(body) => (request.send_body(body), None),
                 Carried::None => (request.send(), None),
@@ -275,7 +319,17 @@
             };
             Reply { spent: upload.is_some_and(|u| u.is_spent()), ..reply }
         };
-        NEWS.scope(news, attempt).boxed_local()
+        // A place and a connection together take no longer than the settings give a connection: repeats by key are
+        // sent while the first is remembered.
+        async move {
+            let mut attempt = std::pin::pin!(NEWS.scope(news, attempt));
+            match tokio::time::timeout(connect, &mut attempt).await {
+                Ok(reply) => reply,
+                Err(_) if wrote.get() => attempt.await,
+                Err(_) => Reply::none(End::ConnectTimedOut),
+            }
+        }
+        .boxed_local()
     }
 }
 
@@ -298,12 +352,20 @@
     }
 }
 
+/// The process, or the system, has no descriptor left (`EMFILE`, `ENFILE`).
+fn is_full(code: i32) -> bool {
+    matches!(code, 23 | 24)
+}
+
 /// How an exchange without an answer ended. awc says `Disconnected` where the connection ended after the
 /// request as well, so that proves nothing of what ran.
 fn end_of(error: &SendRequestError) -> End {
     match error {
         SendRequestError::Connect(ConnectError::Disconnected) => End::BrokeWaiting,
         SendRequestError::Connect(ConnectError::Timeout) => End::ConnectTimedOut,
+        SendRequestError::Connect(ConnectError::Io(why)) if why.raw_os_error().is_some_and(is_full) => {
+            End::NoDescriptor
+        }
         SendRequestError::Connect(_) | SendRequestError::Url(_) => End::Unreachable,
         SendRequestError::Send(_) => End::BrokeWriting,
         SendRequestError::Timeout => End::Silent,
@@ -354,10 +416,13 @@
     let (mut body, since) = (BytesMut::new(), Instant::now());
     loop {
         if stated.is_some_and(|n| whole(n, body.len()) && held(n)) {
-            // awc keeps the connection once its stream is read to the end.
+            // awc keeps the connection once its stream is read to the end. Until then it has its place.
             actix_rt::spawn(async move {
                 tokio::time::sleep(SETTLES).await;
-                while response.next().await.is_some() {}
+                let rest = async { while response.next().await.is_some() {} };
+                // Of a whole answer there is none; what goes on all the same ends with its connection.
+                let _ = tokio::time::timeout(STALLED, rest).await;
+                drop(permit);
             });
             break;
         }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -102,11 +102,51 @@
     }
 }
 
+/// After a box has sent something that belongs to no request, none of its connections carries a second one for so long:
+/// what comes as late as that, but behind the next request, would be taken for that one's answer.
+const DISTRUSTED: Duration = Duration::from_secs(30);
+
+/// What is known of one box's connections.
+#[derive(Debug)]
+pub struct Manner {
+    idling: Rc<Idling>,
+    strayed: Cell<Option<Instant>>,
+}
+
+impl Manner {
+    /// Nothing yet, but for what all boxes' idle connections have shown.
+    pub fn new(idling: Rc<Idling>) -> Self {
+        Manner { idling, strayed: Cell::new(None) }
+    }
+
+    fn allows(&self, idle: Duration) -> bool {
+        self.strayed.get().is_none_or(|at| at.elapsed() > DISTRUSTED) && self.idling.allows(idle)
+    }
+}
+
+/// One of the connections that are open to boxes.
+#[derive(Debug)]
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    /// One more.
+    pub fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Counted(open.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// How long connections may be idle and still be used. What stands on the way may forget idle ones sooner than
 /// the settings say, and resets the next request then, which may have run.
 #[derive(Debug)]
 pub struct Idling {
-    most: Duration,
+    most: Cell<Duration>,
     /// By how long they were idle, each span twice the last: requests begun, and those reset unanswered.
     spans: RefCell<[(u32, u32); SPANS]>,
     halved: Cell<Instant>,
@@ -123,7 +163,12 @@
 impl Idling {
     /// So long by the settings.
     pub fn new(most: Duration) -> Self {
-        Idling { most, spans: RefCell::default(), halved: Cell::new(Instant::now()) }
+        Idling { most: Cell::new(most), spans: RefCell::default(), halved: Cell::new(Instant::now()) }
+    }
+
+    /// So long by newer settings.
+    pub fn retune(&self, most: Duration) {
+        self.most.set(most);
     }
 
     fn span(idle: Duration) -> usize {
@@ -141,7 +186,7 @@
         let harms = |(begun, reset): &(u32, u32)| {
             *reset >= RESETS.0 && f64::from(*reset) >= RESETS.1 * f64::from(*begun)
         };
-        idle < self.most && !spans[..=Self::span(idle)].iter().any(harms)
+        idle < self.most.get() && !spans[..=Self::span(idle)].iter().any(harms)
     }
 
     /// A request was begun after so long, and was answered or reset.
@@ -157,7 +202,8 @@
     socket: TcpStream,
     reading: Reading,
     held: BytesMut,
-    idling: Rc<Idling>,
+    manner: Rc<Manner>,
+    _counted: Counted,
     /// Since when nothing is owed; `None` before its first request.
     since: Option<Instant>,
     /// How long it was idle before the present request.
@@ -172,12 +218,13 @@
 
 impl BoxStream {
     /// Past its connect.
-    pub fn new(socket: TcpStream, idling: Rc<Idling>) -> Self {
+    pub fn new(socket: TcpStream, manner: Rc<Manner>, counted: Counted) -> Self {
         BoxStream {
             socket,
             reading: Reading::Nothing,
             held: BytesMut::new(),
-            idling,
+            manner,
+            _counted: counted,
             since: None,
             idle: None,
             bare: false,
@@ -189,7 +236,7 @@
     /// Whether the present request, on a connection that was idle before, is being answered.
     fn note(&mut self, answered: bool) {
         if let Some(idle) = self.idle.take() {
-            self.idling.note(idle, answered);
+            self.manner.idling.note(idle, answered);
         }
     }
 
@@ -322,13 +369,16 @@
             // awc looks here whether an idle connection is quiet; for it an end is one that can't be used. The
             // system is asked: what tokio knows of the socket is as old as its last look at all of them.
             Reading::Nothing => {
-                if this.since.is_some_and(|since| !this.idling.allows(since.elapsed())) {
+                if this.since.is_some_and(|since| !this.manner.allows(since.elapsed())) {
                     this.reading = Reading::Spoilt;
                     return Poll::Ready(Ok(()));
                 }
                 return match SockRef::from(&this.socket).peek(&mut [MaybeUninit::uninit()]) {
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
-                    _ => {
+                    end => {
+                        if end.is_ok_and(|more| more > 0) {
+                            this.manner.strayed.set(Some(Instant::now()));
+                        }
                         this.reading = Reading::Spoilt;
                         Poll::Ready(Ok(()))
                     }
@@ -363,7 +413,11 @@
         };
         if over {
             // What came with the answer and is no part of it is nobody's.
-            this.reading = if this.held.is_empty() { Reading::Nothing } else { Reading::Spoilt };
+            this.reading = Reading::Nothing;
+            if !this.held.is_empty() {
+                this.manner.strayed.set(Some(Instant::now()));
+                this.reading = Reading::Spoilt;
+            }
             this.held = BytesMut::new();
             this.since = Some(Instant::now());
         }
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -402,7 +402,7 @@
     let (listener, address) = loopback().await;
     let (core, stop) = (host(&settings), Rc::new(Notify::new()));
     core.feed(Input::List(boxes));
-    let boxes = shaletack::net::boxes::Boxes::new(&settings, 16);
+    let boxes = shaletack::net::boxes::Boxes::new(&core, 16);
     let front = shaletack::net::front::Front {
         host: core.clone(),
         boxes,
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,8 +3,12 @@
 
 mod common;
 use common::net::*;
+use shaletack::broker::Input;
+use shaletack::ending::End;
 use shaletack::interface::Settings;
+use shaletack::net::boxes::{Boxes, Carried, Passed};
 use shaletack::net::watch::Watch;
+use shaletack::runtime::host::Errand;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -222,7 +226,7 @@
         .await;
         let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
         let settings = Settings { list_on_request: true, ..Settings::clone(&host.settings()) };
-        host.feed(shaletack::broker::Input::Settings(Box::new(settings)));
+        host.feed(Input::Settings(Box::new(settings)));
         let start = Instant::now();
         let _watch = Watch::start(host.clone(), agent, 1, 1);
         let mut client = HttpClient::connect(front).await;
@@ -239,3 +243,104 @@
         while client.ask(&request()).await.0 != 200 {}
     });
 }
+
+/// The times of connections were those of the first settings for ever.
+#[test]
+fn newer_settings_hold_for_connections_to_boxes() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"ok", 0), false))).await;
+        let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+        let mut client = HttpClient::connect(front).await;
+        let mut connections = async |keepalive: Option<Duration>| {
+            if let Some(keepalive) = keepalive {
+                let settings = Settings { keepalive, ..Settings::clone(&host.settings()) };
+                host.feed(Input::Settings(Box::new(settings)));
+            }
+            for _ in 0..2 {
+                assert_eq!(client.ask(&platform_request("GET", "leitura", 0, 1, b"")).await.0, 200);
+                tokio::time::sleep(Duration::from_millis(150)).await;
+            }
+            boxed.seen.borrow().iter().rev().take(2).map(|s| s.0).collect::<Vec<_>>()
+        };
+        assert_eq!(connections(None).await, [0, 0]);
+        // Idle for 60 ms at most from now on, and then as long as before.
+        assert_eq!(connections(Some(Duration::from_millis(100))).await, [2, 1]);
+        assert_eq!(connections(Some(Duration::from_secs(5))).await, [3, 3]);
+    });
+}
+
+/// A repeat by key leaves a connection's time of what its box remembers. Where all places were taken it waited for one
+/// before that time began, and could be written late.
+#[test]
+fn a_place_and_a_connection_together_take_no_longer_than_a_connection_may() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| None).await;
+        let host = host(&operator(&[(boxed.address, 0), (boxed.address, 1)]).settings);
+        let boxes = Boxes::new(&host, 1);
+        let attempt = || {
+            let errand = Passed {
+                boxes: boxes.clone(),
+                method: actix_http::Method::GET,
+                target: "/leitura/1".into(),
+                trace: "1".into(),
+                key: None,
+                body: Carried::None,
+                rest: Rc::default(),
+            };
+            errand.attempt(boxed.address, Duration::from_secs(2), Box::new(|_| {}))
+        };
+        let first = actix_rt::spawn(attempt());
+        boxed.came.notified().await;
+        let start = Instant::now();
+        assert_eq!(attempt().await.end, End::ConnectTimedOut);
+        assert!(start.elapsed() < Duration::from_millis(600), "{:?}", start.elapsed());
+        first.abort();
+        // What it held is free, and the box hears only of the one.
+        assert_eq!(boxed.seen.borrow().len(), 1);
+    });
+}
+
+/// A second answer may come late: behind the next request it would be taken for that one's.
+#[test]
+fn a_box_that_answered_twice_gets_one_request_on_each_connection() {
+    story(async {
+        let (strays, stray) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
+        let (went, go) = (strays.clone(), stray.clone());
+        let boxed = peer(move |stream, number| {
+            let (went, go) = (went.clone(), go.clone());
+            async move {
+                let mut s = BufReader::new(stream);
+                let mut late: Option<Vec<u8>> = None;
+                while let Some((head, _)) = message(&mut s).await {
+                    let own = answer("200 OK", header(&head, "x-trace-id").unwrap().as_bytes(), 0);
+                    // Whatever was answered here before is said once more in front of the next answer.
+                    s.write_all(&late.take().unwrap_or_default()).await.unwrap();
+                    s.write_all(&own).await.unwrap();
+                    if number == 0 {
+                        go.notified().await;
+                        let _ = s.write_all(&own).await;
+                        went.notify_one();
+                    } else {
+                        late = Some(own);
+                    }
+                }
+            }
+        })
+        .await;
+        let (front, _, _) = http_front(&[(boxed, 0)]).await;
+        let mut client = HttpClient::connect(front).await;
+        for turn in 0..4 {
+            let request = platform_request("PUT", "gravacao", 0, 2, b"w");
+            let id = header(&String::from_utf8_lossy(&request), "x-trace-id").unwrap();
+            let (status, _, body) = client.ask(&request).await;
+            assert_eq!((status, String::from_utf8(body).unwrap()), (200, id), "request {turn}");
+            if turn == 0 {
+                // Past the time for which a connection settles, and before its next use.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                stray.notify_one();
+                strays.notified().await;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -265,10 +265,14 @@
         Silent,
         CalledOff,
         NoAddress,
+        Recalled,
+        NoDescriptor,
     ];
     let never = |e: &End| e.outcome().never_ran();
     let proofs: Vec<End> = all.into_iter().filter(never).collect();
-    assert_eq!(proofs, [TurnedAway, Unreachable, ConnectTimedOut, HandshakeFailed, NoAddress]);
+    let proven =
+        [TurnedAway, Unreachable, ConnectTimedOut, HandshakeFailed, NoAddress, Recalled, NoDescriptor];
+    assert_eq!(proofs, proven);
 }
 
 #[test]
