A handover goes to a process of the same initiator alone

Cause, found by reading: the socket between two versions was named by the initiator's name alone, so two customers' initiators of one name in one TMPDIR inherited each other's list, volumes and ids, halved each other's budgets, and where the own file was bad one served by the other's configuration. Connections were greeted one after the other: whoever said nothing for 0.3 s used up the 0.3 s that a true successor waited. A third version found its predecessor shared, took an empty line for an unreadable will and served with every budget whole.

Change: Identity (name, and the clients' address: that of the held socket, or the file's) names the socket and goes with a hello of version 2; name, address, user and version have to match, and both ends say what does not. Each connection is greeted in a task of its own. A third version waits 5 s for the first to end, and else ends with what to do. A successor waits 2 s for a busy predecessor (0.3 s), for without its word both spend every budget. On a port that the system chooses nobody can follow, so nothing is offered.

Ruled out: the address of discovery as a part of the identity (it moves by SIGHUP); taking version 1's will and checking its text (asking alone halves the other customer's budgets). Tests red without: mutants without the checks (crossings.rs:379) and with greetings in turn (crossings.rs:401); the process test holds two initiators of one name in one folder.

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,7 @@
 use shaletack::members::Members;
 use shaletack::nbd;
 use shaletack::net::front::{self, Traces};
-use shaletack::net::handover::{self, Link, Will};
+use shaletack::net::handover::{self, Identity, Link, Will};
 use shaletack::net::{boxes, management, watch};
 use shaletack::operator::{self, Operator};
 use shaletack::peers::{self, Peers};
@@ -305,8 +305,15 @@
     let loaded = load(file.clone());
     let name =
         std::env::var("ROUTER_NAME").ok().or(loaded.as_ref().ok().map(|(config, _)| config.name.clone()));
-    let heir = match &name {
-        Some(name) => handover::ask(&handover::path(name)).await,
+    // Without a held socket the clients' address is the file's; one that can't be read names none, and so proves nothing.
+    let clients = match (&held, &loaded) {
+        (Some(held), _) => held.local_addr().ok(),
+        (None, Ok((config, _))) => Some(config.listen).filter(|at| at.port() > 0),
+        (None, Err(_)) => std::env::var("ROUTER_LISTEN").ok().and_then(|at| at.parse().ok()),
+    };
+    let me = name.zip(clients).map(|(name, clients)| Identity { name, clients });
+    let heir = match &me {
+        Some(me) => handover::ask(me, &std::env::temp_dir()).await.map_err(|why| why.to_string())?,
         None => None,
     };
     let (config, file) = match (loaded, &heir) {
@@ -318,7 +325,7 @@
         }
         (loaded, _) => loaded?,
     };
-    run(config, file, signals, held, heir).await
+    run(config, file, signals, held, me, heir).await
 }
 
 async fn run(
@@ -326,6 +333,7 @@
     file: String,
     (mut term, hangup): (Signal, Signal),
     held: Option<std::net::TcpListener>,
+    me: Option<Identity>,
     heir: Option<(Will, BufReader<UnixStream>)>,
 ) -> Result<(), String> {
     let Config {
@@ -345,7 +353,10 @@
     info!(name, boxes = known.entries.len(), revision = known.revision, "starts");
     passed_over.iter().for_each(|why| warn!(%why, "an entry of the list is passed over"));
     host.feed(Input::List(known));
-    let link = Link::new(host.clone(), handover::path(&name));
+    // On a port that the system chooses nobody can follow this process.
+    let alone = me.is_none();
+    let me = me.unwrap_or_else(|| Identity { name: name.clone(), clients: listen });
+    let link = Link::new(host.clone(), me, &std::env::temp_dir());
     let (traces, ready) = (Rc::new(RefCell::new(Traces::default())), Rc::new(Cell::new(false)));
     if let Some((will, stream)) = heir {
         host.feed(Input::Inherit(Box::new(will.legacy), handover::HALF));
@@ -398,11 +409,14 @@
         mb => ((mb.saturating_sub(BASE_MB) << 20) / CONNECTION_BYTES).max(16) as usize,
     };
     let (core, ids) = (host.clone(), traces.clone());
-    link.open(move || Will {
+    let will = move || Will {
         legacy: core.look(|broker| broker.legacy(handover::HALF)),
         traces: ids.borrow().all(),
         text: String::from_utf8_lossy(&text.borrow()).into_owned(),
-    });
+    };
+    if !alone {
+        link.open(will);
+    }
     ready.set(true);
     let succeeded = Rc::new(move || link.is_shared().then(|| link.leave()).is_some());
     let front = front::Front { host, boxes, most: (rest - rest / 4).min(room), traces, succeeded };
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -1,31 +1,91 @@
 //! Two versions of one initiator, while the newer takes over from the older: one Unix socket in `TMPDIR`, named
-//! by the initiator. What the older knows goes over it in one line; the link then stays until either ends, so
-//! that what operators ask of one process binds both, and each budget is spent by the two together once.
+//! by the initiator and where its clients connect. What the older knows goes over it in one line; the link then stays
+//! until either ends, so that what operators ask of one process binds both, and each budget is spent by the two
+//! together once. Only a process of the same user, name and clients' address is given anything: another customer's
+//! initiator may have the same name, and must not get this one's list, volumes or configuration.
 
 use crate::broker::{Input, Legacy, Order};
 use crate::runtime::host::Host;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::path::PathBuf;
+use std::net::SocketAddr;
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tracing::{info, warn};
 
-/// A silent predecessor does not keep a new version from serving.
-const ASKED: Duration = Duration::from_millis(300);
+/// A successor says who it is within this.
+const HELLO: Duration = Duration::from_millis(300);
+/// A predecessor may be busy; without its word both would spend every budget. One that is stuck keeps a new version
+/// from serving no longer than this.
+const ANSWERED: Duration = Duration::from_secs(2);
+/// A third version waits so long for the first to end, and looks so often.
+const THIRD: (Duration, Duration) = (Duration::from_secs(5), Duration::from_millis(100));
 /// The other process has so long to carry out what operators ask.
 const TOLD: Duration = Duration::from_millis(300);
 /// A legacy is a list, the volumes of a minute and the ids of a few seconds.
 const LINE_MOST: u64 = 16 << 20;
-const HELLO: &str = "shaletack heir 1\n";
+/// The version of what goes over the link; both ends have to have the same.
+const VERSION: u32 = 2;
+/// The longest hello.
+const HELLO_MOST: u64 = 4096;
+/// The longest part of a name in the socket's.
+const NAME_MOST: usize = 40;
 /// What each process may spend of every budget while both serve, and the older while it leaves.
 pub const HALF: f64 = 0.5;
 const LEAVES: f64 = 0.25;
 
+/// Whose successor may be given anything.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// The initiator's name.
+    pub name: String,
+    /// Where its clients connect.
+    pub clients: SocketAddr,
+}
+
+impl Identity {
+    /// Where its processes meet.
+    pub fn socket(&self, folder: &Path) -> PathBuf {
+        let plain = |text: &str| -> String {
+            text.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).take(NAME_MOST).collect()
+        };
+        folder.join(format!("shaletack-{}-{}.sock", plain(&self.name), plain(&self.clients.to_string())))
+    }
+}
+
+/// What a successor says first.
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    version: u32,
+    me: Identity,
+}
+
+/// What it is answered.
+#[derive(Debug, Serialize, Deserialize)]
+enum Reply {
+    Will(Box<Will>),
+    /// Nothing, for this reason.
+    Refused(String),
+    /// The two last versions still share every budget.
+    Busy,
+}
+
+/// Why a process can't start as a successor.
+#[derive(Debug, thiserror::Error)]
+pub enum NoPlace {
+    /// A third one would spend every budget once more.
+    #[error(
+        "two versions of {0} serve at {1} already: end the older one (SIGTERM), then start this one again"
+    )]
+    Third(String, SocketAddr),
+}
+
 /// What a predecessor leaves.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Will {
@@ -50,7 +110,14 @@
 
 struct Inner {
     host: Host,
+    me: Identity,
     path: PathBuf,
+    /// A successor has the will, or is being given it.
+    taken: Cell<bool>,
+    /// Told when a successor has ended before this process.
+    gone: Rc<Notify>,
+    /// Who runs this process.
+    user: Cell<u32>,
     peer: RefCell<Option<mpsc::UnboundedSender<Message>>>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
     last: Cell<u64>,
@@ -60,39 +127,59 @@
 #[derive(Clone)]
 pub struct Link(Rc<Inner>);
 
-/// Where initiators of that name meet.
-pub fn path(name: &str) -> PathBuf {
-    let plain: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
-    std::env::temp_dir().join(format!("shaletack-{plain}.sock"))
-}
-
-/// Asks whoever serves under that name for its will, and keeps the connection for [`Link::keep`].
-pub async fn ask(path: &PathBuf) -> Option<(Will, BufReader<UnixStream>)> {
-    let asked = async {
-        let mut stream = UnixStream::connect(path).await.ok()?;
-        stream.write_all(HELLO.as_bytes()).await.ok()?;
-        let mut stream = BufReader::new(stream);
-        let mut line = Vec::new();
-        (&mut stream).take(LINE_MOST).read_until(b'\n', &mut line).await.ok()?;
-        let will = simd_json::serde::from_slice(&mut line);
-        let will = will.inspect_err(|fault| warn!(why = %fault, "the predecessor's will can't be read"));
-        Some((will.ok()?, stream))
-    };
-    match tokio::time::timeout(ASKED, asked).await {
-        Ok(will) => will,
-        Err(_) => {
-            warn!("the predecessor says nothing; this process goes on without its will");
-            None
+/// Asks whoever serves as that initiator for its will, and keeps the connection for [`Link::keep`].
+///
+/// # Errors
+/// Two versions serve already, and go on doing so.
+pub async fn ask(me: &Identity, folder: &Path) -> Result<Option<(Will, BufReader<UnixStream>)>, NoPlace> {
+    let start = tokio::time::Instant::now();
+    let mut waits = false;
+    loop {
+        let asked = tokio::time::timeout(ANSWERED, ask_once(me, &me.socket(folder))).await;
+        match asked {
+            Ok(None) => return Ok(None),
+            Ok(Some((Reply::Will(will), stream))) => return Ok(Some((*will, stream))),
+            Ok(Some((Reply::Refused(why), _))) => {
+                warn!(%why, "the predecessor gives nothing; this process goes on without its will");
+                return Ok(None);
+            }
+            Ok(Some((Reply::Busy, _))) if start.elapsed() < THIRD.0 => {
+                if !std::mem::replace(&mut waits, true) {
+                    warn!("two versions serve already: this process waits for the older one to end");
+                }
+                tokio::time::sleep(THIRD.1).await;
+            }
+            Ok(Some((Reply::Busy, _))) => return Err(NoPlace::Third(me.name.clone(), me.clients)),
+            Err(_) => {
+                warn!("the predecessor says nothing; this process goes on without its will");
+                return Ok(None);
+            }
         }
     }
 }
 
+async fn ask_once(me: &Identity, path: &Path) -> Option<(Reply, BufReader<UnixStream>)> {
+    let mut stream = UnixStream::connect(path).await.ok()?;
+    let hello = simd_json::serde::to_string(&Hello { version: VERSION, me: me.clone() }).ok()?;
+    stream.write_all(format!("{hello}\n").as_bytes()).await.ok()?;
+    let mut stream = BufReader::new(stream);
+    let mut line = Vec::new();
+    (&mut stream).take(LINE_MOST).read_until(b'\n', &mut line).await.ok()?;
+    let reply = simd_json::serde::from_slice(&mut line);
+    let reply = reply.inspect_err(|fault| warn!(why = %fault, "the predecessor's will can't be read"));
+    Some((reply.ok()?, stream))
+}
+
 impl Link {
     /// A link to nobody yet.
-    pub fn new(host: Host, path: PathBuf) -> Self {
+    pub fn new(host: Host, me: Identity, folder: &Path) -> Self {
         Link(Rc::new(Inner {
             host,
-            path,
+            path: me.socket(folder),
+            me,
+            taken: Cell::new(false),
+            gone: Rc::default(),
+            user: Cell::default(),
             peer: RefCell::default(),
             waiting: RefCell::default(),
             last: Cell::new(0),
@@ -107,41 +194,66 @@
     /// From now on successors find this process; `will` says what they inherit. What lies there from a
     /// predecessor is replaced in one step.
     pub fn open(&self, will: impl Fn() -> Will + 'static) {
-        let will = Rc::new(will);
-        let weak = Rc::downgrade(&self.0);
+        let will: Rc<dyn Fn() -> Will> = Rc::new(will);
+        let (weak, gone) = (Rc::downgrade(&self.0), self.0.gone.clone());
         actix_rt::spawn(async move {
             let mut listener = weak.upgrade().and_then(|inner| inner.listen());
             loop {
                 let Some(at) = &listener else { return };
-                let accepted = at.accept().await;
+                let stream = tokio::select! {
+                    accepted = at.accept() => accepted.ok(),
+                    () = gone.notified() => None,
+                };
                 let Some(inner) = weak.upgrade() else { return };
-                let Ok((stream, _)) = accepted else { continue };
                 let link = Link(inner);
-                if let Some(stream) = link.greet(stream, &*will).await {
-                    link.attend(stream).await;
+                let Some((stream, _)) = stream else {
                     // A successor puts its own socket there; where it ends before this process, that is lost.
                     listener = link.0.listen();
-                    link.ended();
-                }
+                    continue;
+                };
+                let will = will.clone();
+                // Whoever connects and says nothing keeps no successor waiting.
+                actix_rt::spawn(async move {
+                    if let Some(stream) = link.greet(stream, &*will).await {
+                        link.attend(stream).await;
+                        link.ended();
+                        link.0.gone.notify_one();
+                    }
+                });
             }
         });
     }
 
     /// The connection, where it is a successor's; that gets the will, and half of every budget.
-    async fn greet(&self, stream: UnixStream, will: &impl Fn() -> Will) -> Option<BufReader<UnixStream>> {
+    async fn greet(&self, stream: UnixStream, will: &dyn Fn() -> Will) -> Option<BufReader<UnixStream>> {
+        let user = stream.peer_cred().ok()?.uid();
         let mut stream = BufReader::new(stream);
-        let mut hello = String::new();
-        let mut start = (&mut stream).take(HELLO.len() as u64);
-        let said = tokio::time::timeout(ASKED, start.read_line(&mut hello)).await;
-        let heir = matches!(said, Ok(Ok(_)) if hello == HELLO);
-        if !heir || self.is_shared() {
+        let mut hello = Vec::new();
+        let mut start = (&mut stream).take(HELLO_MOST);
+        let said = tokio::time::timeout(HELLO, start.read_until(b'\n', &mut hello)).await;
+        if !matches!(said, Ok(Ok(_)) if hello.ends_with(b"\n")) {
+            return None;
+        }
+        let reply = match self.understand(&mut hello, user) {
+            Err(why) => {
+                warn!(%why, "a process asked for what this one knows and is given nothing");
+                Reply::Refused(why)
+            }
+            Ok(()) if self.0.taken.get() || self.is_shared() => Reply::Busy,
+            Ok(()) => Reply::Will(Box::new(will())),
+        };
+        let given = matches!(reply, Reply::Will(_));
+        if given {
+            self.0.taken.set(true);
+            self.0.host.feed(Input::Part(HALF));
+        }
+        let line = simd_json::serde::to_string(&reply).ok()? + "\n";
+        let sent = tokio::time::timeout(ANSWERED, stream.write_all(line.as_bytes())).await;
+        if !given {
             return None;
         }
-        let mut line = simd_json::serde::to_string(&will()).ok()?;
-        line.push('\n');
-        self.0.host.feed(Input::Part(HALF));
-        let sent = tokio::time::timeout(ASKED, stream.write_all(line.as_bytes())).await;
         if !matches!(sent, Ok(Ok(()))) {
+            self.0.taken.set(false);
             self.0.host.feed(Input::Part(1.0));
             return None;
         }
@@ -149,6 +261,24 @@
         Some(stream)
     }
 
+    /// Whether this is a successor's hello; why not.
+    fn understand(&self, hello: &mut [u8], user: u32) -> Result<(), String> {
+        let own = self.0.user.get();
+        let hello: Hello = simd_json::serde::from_slice(hello).map_err(|why| format!("its hello: {why}"))?;
+        let (me, it) = (&self.0.me, &hello.me);
+        match () {
+            () if hello.version != VERSION => {
+                Err(format!("it speaks version {} of the handover, and this one {VERSION}", hello.version))
+            }
+            () if user != own => Err(format!("it runs as user {user}, and this one as {own}")),
+            () if me != it => Err(format!(
+                "it is {} at {}, and this one {} at {}",
+                it.name, it.clients, me.name, me.clients
+            )),
+            () => Ok(()),
+        }
+    }
+
     /// Stays in touch with the predecessor whose will this process has, until it ends.
     pub fn keep(&self, stream: BufReader<UnixStream>) {
         let link = self.clone();
@@ -197,6 +327,7 @@
 
     fn ended(&self) {
         self.0.peer.take();
+        self.0.taken.set(false);
         self.0.waiting.borrow_mut().clear();
         self.0.host.feed(Input::Part(1.0));
         info!("the other process is gone: this one has every budget alone");
@@ -231,7 +362,10 @@
     fn listen(&self) -> Option<UnixListener> {
         let fresh = self.path.with_extension(std::process::id().to_string());
         let _ = std::fs::remove_file(&fresh);
-        let bound = UnixListener::bind(&fresh).and_then(|l| std::fs::rename(&fresh, &self.path).map(|()| l));
+        let bound = UnixListener::bind(&fresh).and_then(|l| {
+            self.user.set(std::fs::metadata(&fresh)?.uid());
+            std::fs::rename(&fresh, &self.path).map(|()| l)
+        });
         match bound {
             Ok(listener) => Some(listener),
             Err(why) => {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -249,7 +249,8 @@
         std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("over-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     // What a predecessor that was killed leaves is no predecessor.
-    drop(std::os::unix::net::UnixListener::bind(folder.join("shaletack-n3.sock")).unwrap());
+    let me = shaletack::net::handover::Identity { name: "n3".into(), clients: place };
+    drop(std::os::unix::net::UnixListener::bind(me.socket(&folder)).unwrap());
     let good = file("over.json", &config("127.0.0.1:1", "1"));
     let call = |at: &str, call: &str| exchange(&mut TcpStream::connect(at).unwrap(), call).0;
     let ready = |at: &str| while call(at, "GET /v1/readyz") != 200 {};
@@ -259,6 +260,14 @@
     let mut kept = TcpStream::connect(place).unwrap();
     assert_eq!(health(&mut kept), (200, true));
     assert_eq!(call(&old_place, "POST /v1/targets/s-5be2a07c/suspend"), 200);
+    // Another customer's initiator of that name, on a socket of its own, shares and inherits nothing.
+    let elsewhere = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (_other, mut other_lines, other_place) = version(&elsewhere, &folder, &good);
+    ready(&other_place);
+    let told: Vec<String> = other_lines.by_ref().take_while(|l| !l.contains(" listens for ")).collect();
+    assert!(!told.iter().any(|l| l.contains(" inherited ")), "{told:?}");
+    assert_eq!(call(&other_place, "POST /v1/initiator/drain"), 200);
+    assert_eq!(health(&mut kept), (200, true));
     // One that dies early leaves the old one serving, and found by the next.
     let (dies, _, early) = version(&held, &folder, &good);
     ready(&early);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -7,13 +7,14 @@
 use shaletack::ending::End;
 use shaletack::interface::Settings;
 use shaletack::net::boxes::{Boxes, Carried, Passed};
+use shaletack::net::handover::{self, Identity, Link, Will};
 use shaletack::net::watch::Watch;
 use shaletack::runtime::host::Errand;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, Interest};
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, UnixListener, UnixStream};
 use tokio::sync::Notify;
 
 /// How long it takes until that holds.
@@ -344,3 +345,101 @@
         }
     });
 }
+
+fn folder(name: &str) -> std::path::PathBuf {
+    let path =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+fn initiator(name: &str, clients: &str) -> Identity {
+    Identity { name: name.into(), clients: clients.parse().unwrap() }
+}
+
+fn will() -> Will {
+    Will { legacy: Default::default(), traces: vec![(Duration::from_secs(1), "t".into())], text: "{}".into() }
+}
+
+/// The socket was named by the initiator's name alone: two customers' initiators of one name took over each other's list
+/// and configuration. And whoever connected and said nothing kept the true successor waiting until that gave up.
+#[test]
+fn a_will_goes_to_a_process_of_the_same_initiator_alone() {
+    story(async {
+        let (folder, me) = (folder("wills"), initiator("n.3", "127.0.0.1:5000"));
+        let host = host(
+            &operator(&[("127.0.0.1:9".parse().unwrap(), 0), ("127.0.0.1:9".parse().unwrap(), 1)]).settings,
+        );
+        let link = Link::new(host.clone(), me.clone(), &folder);
+        link.open(will);
+        let path = me.socket(&folder);
+        until(|| path.exists()).await;
+        // Another clients' address is another socket; one whose name looks the same there meets, and is told why not.
+        assert!(handover::ask(&initiator("n.3", "127.0.0.2:5000"), &folder).await.unwrap().is_none());
+        assert!(handover::ask(&initiator("n_3", "127.0.0.1:5000"), &folder).await.unwrap().is_none());
+        let answer = async |said: &str| {
+            let mut stream = BufReader::new(UnixStream::connect(&path).await.unwrap());
+            stream.write_all(said.as_bytes()).await.unwrap();
+            let mut line = String::new();
+            tokio::io::AsyncBufReadExt::read_line(&mut stream, &mut line).await.unwrap();
+            line
+        };
+        assert!(answer("{\"version\":1,\"me\":{\"name\":\"n.3\",\"clients\":\"127.0.0.1:5000\"}}\n")
+            .await
+            .contains("version"));
+        assert!(answer("shaletack heir 1\n").await.contains("its hello"));
+        assert_eq!((host.part(), link.is_shared()), (1.0, false));
+        // Some that say nothing, or half a line, and stay.
+        let mut silent = Vec::new();
+        for said in ["", "", "{\"version\":2,"] {
+            let mut stream = UnixStream::connect(&path).await.unwrap();
+            stream.write_all(said.as_bytes()).await.unwrap();
+            silent.push(stream);
+        }
+        let start = Instant::now();
+        let (given, stream) = handover::ask(&me, &folder).await.unwrap().expect("the will");
+        assert!(start.elapsed() < Duration::from_millis(250), "{:?}", start.elapsed());
+        assert_eq!((given.traces.len(), host.part()), (1, 0.5));
+        // A third one waits while two share, and gets its will once the second has ended.
+        let third = async { handover::ask(&me, &folder).await.unwrap().is_some() };
+        let ends = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            drop(stream);
+        };
+        assert!(futures_util::future::join(third, ends).await.0);
+        until(|| host.part() == 1.0).await;
+        let _second = handover::ask(&me, &folder).await.unwrap().expect("the will");
+        let refused = handover::ask(&me, &folder).await.expect_err("a third one may not start").to_string();
+        assert!(refused.contains("end the older one"), "{refused}");
+    });
+}
+
+/// A predecessor that dies in the middle of its will, or right behind it, before it said how the budgets are shared.
+#[test]
+fn a_predecessor_that_dies_leaves_its_successor_every_budget() {
+    story(async {
+        let (folder, me) = (folder("dies"), initiator("n3", "127.0.0.1:5000"));
+        let whole = format!("{{\"Will\":{}}}\n", serde_json::to_string(&will()).unwrap());
+        for (said, given) in [(&whole[..whole.len() / 2], false), (&whole[..], true)] {
+            let _ = std::fs::remove_file(me.socket(&folder));
+            let listener = UnixListener::bind(me.socket(&folder)).unwrap();
+            let dies = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let _ = stream.read(&mut [0; 4096]).await.unwrap();
+                stream.write_all(said.as_bytes()).await.unwrap();
+            };
+            let (asked, ()) = futures_util::future::join(handover::ask(&me, &folder), dies).await;
+            let asked = asked.unwrap();
+            assert_eq!(asked.is_some(), given);
+            let Some((will, stream)) = asked else { continue };
+            let host = host(
+                &operator(&[("127.0.0.1:9".parse().unwrap(), 0), ("127.0.0.1:9".parse().unwrap(), 1)])
+                    .settings,
+            );
+            host.feed(Input::Inherit(Box::new(will.legacy), handover::HALF));
+            assert_eq!(host.part(), 0.5);
+            Link::new(host.clone(), me.clone(), &folder).keep(stream);
+            until(|| host.part() == 1.0).await;
+        }
+    });
+}
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::net::*;
 use shaletack::broker::Input;
-use shaletack::net::handover::{self, Link};
+use shaletack::net::handover::{Identity, Link};
 use shaletack::net::management;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -13,7 +13,8 @@
 
 async fn operators(host: &shaletack::runtime::host::Host) -> SocketAddr {
     let (listener, address) = loopback().await;
-    let link = Link::new(host.clone(), handover::path("nobody"));
+    let me = Identity { name: "nobody".into(), clients: "127.0.0.1:1".parse().unwrap() };
+    let link = Link::new(host.clone(), me, &std::env::temp_dir());
     actix_rt::spawn(management::serve(host.clone(), link, listener, Rc::new(Cell::new(true))));
     address
 }
