Who waits for a descriptor gets in, also at a stop

Cause, found by reading and shown by a test: where the system gives fewer descriptors than the places, the front did not take itself for full, and idle connections kept theirs for 20 s; newcomers with a request waited in the backlog (no answer in 10 s). At a stop the backlog was left at the first accept that failed, and reset with the listener.

The test holds 60 clients to 24 descriptors, serving and stopping: all are answered. Looked at and found sound, with a test that passes as found: SIGTERM before ready, twice, and a SIGHUP during the stop.

--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -231,7 +231,8 @@
             lines.retain(|line| line.strong_count() > 0);
             // Nobody waits for a place of a process that another one has succeeded.
             let most = (most as f64 * host.part()).ceil() as usize;
-            let (open, full) = (lines.len(), lines.len() >= most && host.succeeded_since().is_none());
+            let full = lines.len() >= most || closing.is_short();
+            let (open, full) = (lines.len(), full && host.succeeded_since().is_none());
             let mut cut = 0;
             let live = || lines.iter().filter_map(Weak::upgrade);
             live().filter(|l| l.is_waited_for() && l.is_left()).for_each(|line| line.cut.notify_one());
--- a/src/runtime/gate.rs
+++ b/src/runtime/gate.rs
@@ -14,6 +14,10 @@
 const STILL_ACCEPTS: Duration = Duration::from_millis(450);
 /// Connections no request is on are closed that long after the signal.
 const IDLE_CLOSES: Duration = Duration::from_millis(550);
+/// What waits in the backlog at the stop, and finds no descriptor, waits so long for one that is given back.
+const BACKLOG: Duration = Duration::from_millis(2000);
+/// After a connection could not be accepted places are taken for full so long.
+const SHORT: Duration = Duration::from_millis(500);
 /// What an answer may take on its way out once it is final.
 const LAST_ANSWERS: Duration = Duration::from_millis(500);
 /// A large answer that has begun may take this much longer to pass on; its request was answered in time.
@@ -21,7 +25,7 @@
 
 /// Tells connections to close once they are idle.
 #[derive(Clone, Default)]
-pub struct Closing(Rc<(Cell<bool>, Notify)>);
+pub struct Closing(Rc<(Cell<bool>, Notify, Cell<Option<Instant>>)>);
 
 impl Closing {
     /// Ends when connections are to close.
@@ -37,6 +41,15 @@
         self.0 .0.get()
     }
 
+    /// Whether connections wait that no descriptor was left for, whatever the places say.
+    pub fn is_short(&self) -> bool {
+        self.0 .2.get().is_some_and(|at| at.elapsed() < SHORT)
+    }
+
+    fn fall_short(&self) {
+        self.0 .2.set(Some(Instant::now()));
+    }
+
     fn tell(&self) {
         self.0 .0.set(true);
         self.0 .1.notify_waiters();
@@ -112,6 +125,7 @@
                 accepted = accepted => match accepted {
                     Ok((stream, _)) => start(stream),
                     Err(error) => {
+                        closing.fall_short();
                         warn!(why = %error, "a connection could not be accepted");
                         tokio::time::sleep(Duration::from_millis(10)).await;
                     }
@@ -131,10 +145,17 @@
         }
         // What waits in the backlog was taken: a closed listener would reset it.
         // A successor listens on the same socket, and what waits there is its own.
+        let until = Instant::now() + BACKLOG;
         while host.succeeded_since().is_none() {
-            let waiting = tokio::time::timeout(Duration::from_millis(1), listener.accept()).await;
-            let Ok(Ok((stream, _))) = waiting else { break };
-            start(stream);
+            match tokio::time::timeout(Duration::from_millis(1), listener.accept()).await {
+                Ok(Ok((stream, _))) => start(stream),
+                Ok(Err(_)) if Instant::now() < until => {
+                    closing.fall_short();
+                    closing.tell();
+                    let _ = tokio::time::timeout(Duration::from_millis(10), count.fell.notified()).await;
+                }
+                _ => break,
+            }
         }
         drop(listener);
         if host.succeeded_since().is_none() {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -195,6 +195,74 @@
     assert!(lines.any(|l| l.ends_with(" INFO stopped: all that was taken is answered")));
 }
 
+/// SIGTERM right at the start, a second one, and a SIGHUP while it stops: each ends with success, and soon.
+#[test]
+fn a_stop_comes_at_any_time_and_more_than_once() {
+    // An agent that says nothing holds the start up for a moment.
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let path = file("early.json", &config("127.0.0.1:0", "1"));
+    for early in [true, false] {
+        let mut command = shaletack(&["--config", &path]);
+        command.env("ROUTER_DISCOVERY", agent.local_addr().unwrap().to_string());
+        let mut child = Running(command.spawn().unwrap());
+        let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
+        let sign = if early { " starts " } else { " listens for " };
+        lines.find(|l| l.contains(sign)).expect("it says so");
+        let start = std::time::Instant::now();
+        child.signal("-TERM");
+        if !early {
+            lines.find(|l| l.ends_with(" INFO stopping connections=0 requests=0")).expect("it stops");
+            child.signal("-HUP");
+            child.signal("-TERM");
+        }
+        assert!(child.0.wait().unwrap().success());
+        assert!(start.elapsed() < std::time::Duration::from_secs(3), "{:?}", start.elapsed());
+    }
+}
+
+/// Idle clients took every descriptor, more than the places are: who waited in the backlog waited until they left, and at
+/// a stop was reset.
+#[test]
+fn who_waits_for_a_descriptor_gets_in_also_at_a_stop() {
+    let path = file("short.json", &config("127.0.0.1:0", "1"));
+    for stops in [false, true] {
+        let mut command = Command::new("/bin/sh");
+        command.args([
+            "-c",
+            "ulimit -n 24; exec \"$0\" \"$@\"",
+            env!("CARGO_BIN_EXE_shaletack"),
+            "--config",
+            &path,
+        ]);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let (child, mut lines, address) = Running::start(&mut command);
+        let ask = |client: &mut TcpStream| exchange(client, "GET /_health");
+        let mut clients: Vec<TcpStream> = Vec::new();
+        while clients.len() < 60 {
+            let mut client = TcpStream::connect(&address).unwrap();
+            client.write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+            clients.push(client);
+        }
+        lines.find(|l| l.contains(" a connection could not be accepted ")).expect("there are too many");
+        if stops {
+            child.signal("-TERM");
+        }
+        // Each is answered on the connection that it has.
+        let start = std::time::Instant::now();
+        clients.iter_mut().for_each(|client| {
+            client.set_read_timeout(Some(std::time::Duration::from_secs(10))).unwrap();
+            let mut status = [0; 12];
+            client
+                .read_exact(&mut status)
+                .unwrap_or_else(|e| panic!("stops: {stops}, after {:?}: {e}", start.elapsed()));
+        });
+        assert!(start.elapsed() < std::time::Duration::from_secs(6), "{:?}", start.elapsed());
+        if !stops {
+            assert_eq!(ask(&mut TcpStream::connect(&address).unwrap()).0, 200);
+        }
+    }
+}
+
 /// Starts a version of the program on a clients' socket that the test holds, as the platform does.
 fn version(
     held: &TcpListener,
