--- /dev/null
+++ b/tests/log.rs
@@ -0,0 +1,82 @@
+//! The log's forms, its bound, and what a notice looks like in it.
+
+use shaletack::notice::Notice;
+use shaletack::runtime::log::{subscriber, write, Form, Window, LINES_MOST, WINDOW};
+use simd_json::prelude::*;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tracing::level_filters::LevelFilter;
+use tracing::{debug, info};
+
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Kept {
+    fn lines(&self) -> Vec<String> {
+        String::from_utf8(self.0.lock().unwrap().clone()).unwrap().lines().map(String::from).collect()
+    }
+}
+
+fn under(form: Form, level: LevelFilter, told: impl FnOnce()) -> Vec<String> {
+    let kept = Kept::default();
+    let out = kept.clone();
+    tracing::subscriber::with_default(subscriber(form, level, move || out.clone()), told);
+    kept.lines()
+}
+
+#[test]
+fn a_flood_is_cut_and_the_next_window_says_by_how_many() {
+    let start = Instant::now();
+    let mut window = Window::default();
+    let taken = (0..80).filter(|i| window.take(start + Duration::from_millis(*i)).0).count();
+    assert_eq!(taken, LINES_MOST as usize);
+    assert_eq!(window.take(start + WINDOW), (true, 30));
+    assert_eq!(window.take(start + 2 * WINDOW), (true, 0), "they are counted once");
+    let lines = under(Form::Text, LevelFilter::INFO, || (0..80).for_each(|i| info!(i, "flood")));
+    assert_eq!(lines.len(), LINES_MOST as usize);
+}
+
+#[test]
+fn both_forms_hold_level_message_and_fields_and_the_level_cuts() {
+    let say = || {
+        info!(id = "s-1", revision = 7, "list");
+        debug!("unseen");
+    };
+    let text = under(Form::Text, LevelFilter::INFO, say);
+    assert_eq!(text.len(), 1);
+    assert!(text[0].ends_with(r#" INFO list id="s-1" revision=7"#), "{}", text[0]);
+    let mut json = under(Form::Json, LevelFilter::DEBUG, say).remove(0).into_bytes();
+    let json = simd_json::to_borrowed_value(&mut json).unwrap();
+    assert_eq!((json["level"].as_str(), json["message"].as_str()), (Some("INFO"), Some("list")));
+    assert_eq!((json["id"].as_str(), json["revision"].as_u64()), (Some("s-1"), Some(7)));
+}
+
+#[test]
+fn a_list_entry_tells_its_fields() {
+    let member = shaletack::members::Member {
+        id: "s-2".into(),
+        address: Some("127.0.0.1:7".parse().unwrap()),
+        zone: "z".into(),
+        shard: 3,
+        readiness: shaletack::interface::Readiness::Draining,
+        up_since: None,
+    };
+    let notice = Notice::Listed { revision: 9, kind: shaletack::interface::ListKind::Full, member };
+    let line = under(Form::Text, LevelFilter::INFO, || write(&notice)).remove(0);
+    assert!(
+        line.ends_with(r#"list id="s-2" standing=Draining shard=3 at=127.0.0.1:7 revision=9 kind=Full"#),
+        "{line}"
+    );
+}
