--- a/tests/ci.rs
+++ b/tests/ci.rs
@@ -1,4 +1,4 @@
-//! What CI passes over: `.ci/known-red`.
+//! The scripts: what CI passes over (`.ci/known-red`), and what is laid beside sites (`deploy/sites/prepare`).
 
 use std::process::{Command, Output};
 
@@ -44,3 +44,14 @@
         assert!(!out.status.success() && said.contains(why), "{name}: {said}");
     }
 }
+
+/// Without a kit nothing is laid, and it says what is missing.
+#[test]
+fn sites_without_a_kit_are_not_prepared() {
+    let script = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/sites/prepare");
+    for (args, why) in [(&[][..], "usage"), (&["/nowhere"], "there is no /nowhere/sites/real.json")] {
+        let out = Command::new("bash").arg(script).args(args).output().unwrap();
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success() && said.contains(why), "{said}");
+    }
+}
