--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -27,6 +27,7 @@
 const POOLED: f64 = 0.5; // Part of a limit that waits at the volume's home, where hosts may talk.
 const LEFT: f64 = 0.5; // Part of a limit's store that late work leaves.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2)); // First, longest.
+const REBORN: f64 = 0.85; // Part of a chance amount that a reborn host has saved; its last life may be in it.
 const REPEAT_COST: f64 = 0.5; // What a request costs a node that has just taken the same key.
 const RUN_ROOM: f64 = 1.0; // A run of one key may go on past the window by so many,
 const RUN_LOOK: usize = 64; // looked for among so many held.
@@ -926,10 +927,14 @@
         }
     }
 
-    /// What a host has saved when it first knows of a start: a chance amount, as if it had saved for long.
+    /// What a host has saved when a node starts, as if it had saved for long: hosts that run then have
+    /// amounts spread evenly over them, so that their first sends follow each other; later ones draw.
     fn first_saved(&self, id: NodeId, born: Duration) -> Bucket {
-        let chance = scramble(self.seed ^ u64::from(id) ^ born.as_nanos() as u64) % 1024;
-        Bucket { tokens: self.set.unit_mean * chance as f64 / 1024.0, at: self.now }
+        let start = u64::from(id) ^ born.as_nanos() as u64;
+        let drawn = |from: u64| (scramble(from) % (1 << 20)) as f64 / f64::from(1 << 20);
+        let even = f64::from(self.set.rank) / f64::from(self.set.hosts.max(1)) + drawn(start);
+        let part = if self.started <= born { even.fract() } else { REBORN * drawn(self.seed ^ start) };
+        Bucket { tokens: self.set.unit_mean * part, at: self.now }
     }
 
     /// Where an even part holds hardly a request, a host saves its part until it does: it may be overdrawn
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -301,6 +301,61 @@
     });
 }
 
+/// A box's answer in each form, reset after each of its bytes: a reset is no end, and half is never whole.
+#[test]
+fn an_answer_that_is_reset_on_its_way_is_never_whole() {
+    story(async {
+        let away = "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 4\r\n\r\nfull";
+        // The form, whether its end shows without the connection's, and how a whole one ends.
+        let forms = [
+            ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", true, End::Whole),
+            (
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+                true,
+                End::Whole,
+            ),
+            ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello", false, End::Whole),
+            ("HTTP/1.1 200 OK\r\n\r\nhello", false, End::Whole),
+            (away, true, End::TurnedAway),
+        ];
+        let next = Rc::new(Cell::new(("", 0)));
+        let says = next.clone();
+        let boxed = peer(move |stream, _| {
+            let (text, cut) = says.get();
+            async move {
+                let mut s = BufReader::new(stream);
+                message(&mut s).await;
+                s.write_all(&text.as_bytes()[..cut]).await.unwrap();
+                socket2::SockRef::from(s.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+        })
+        .await;
+        let host = host(&operator(&[(boxed, 0), (boxed, 1)]).settings);
+        let boxes = Boxes::new(&host, 4);
+        for (text, shows, whole) in forms {
+            for cut in 0..=text.len() {
+                next.set((text, cut));
+                let errand = Passed {
+                    boxes: boxes.clone(),
+                    method: actix_http::Method::GET,
+                    target: "/leitura/1".into(),
+                    trace: "1".into(),
+                    key: None,
+                    body: Carried::None,
+                    rest: Rc::default(),
+                };
+                let reply = errand.attempt(boxed, Duration::from_secs(2), Box::new(|_| {})).await;
+                if cut == text.len() && shows {
+                    assert_eq!(reply.end, whole, "{text:?}");
+                } else {
+                    let ends = [End::HalfAnswer, End::BrokeWaiting, End::SpoiltAnswer];
+                    assert!(ends.contains(&reply.end), "{text:?} cut after {cut}: {:?}", reply.end);
+                }
+            }
+        }
+    });
+}
+
 /// A second answer may come late: behind the next request it would be taken for that one's.
 #[test]
 fn a_box_that_answered_twice_gets_one_request_on_each_connection() {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -29,12 +29,13 @@
 
 /// Units sent to a cold node by so many hosts that all have more to send than they may, some of them
 /// reborn on the way: when, and how many.
-fn sent_to_a_cold_node(count: u32, seconds: u32) -> Vec<(Duration, f64)> {
-    let mut draws = Draws(u64::from(count));
+fn sent_to_a_cold_node(count: u32, seconds: u32, seed: u64) -> Vec<(Duration, f64)> {
+    let mut draws = Draws(u64::from(count) + seed);
     let born = T0 + 77 * MS;
     let cold = |kind| list(kind, vec![NodeLine { born, ..line(1, 0) }]);
-    let mut hosts: Vec<Scheduler> =
-        (0..count).map(|rank| Scheduler::new(of_many(count, rank), u64::from(rank), T0)).collect();
+    let mut hosts: Vec<Scheduler> = (0..count)
+        .map(|rank| Scheduler::new(of_many(count, rank), u64::from(rank) + seed * 1000, T0))
+        .collect();
     let mut flights: VecDeque<(Duration, usize, RequestId)> = VecDeque::new();
     let (mut id, mut now, mut sent) = (0, born, Vec::new());
     let mut held: Vec<u64> = vec![0; count as usize];
@@ -85,24 +86,30 @@
     sent
 }
 
-/// Each fall window's units stay within what the node bears at that moment, at every host count, where parts hold no
-/// request within the chance that the rule leaves (N + 3 x root of N + 3 requests), however many hosts are reborn; and
-/// the node is sent something from the start on, not only once it is warm.
+/// Each fall window's units stay within what the node bears at that moment, at every host count, and where parts hold no
+/// request within the chance that the rule leaves (2 x root of N + 2 requests, over the sum of all hosts), however many
+/// hosts are reborn; and the node is sent something from the start on, not only once it is warm. Found in 6 of 120 runs
+/// of 280 and 300 hosts, seeds 17 and 22 among them: amounts drawn by each host for itself met in some windows.
 #[test]
 fn many_hosts_never_push_a_cold_node_over_and_use_it_from_the_start() {
-    for count in [2, 50, 280] {
-        let sent = sent_to_a_cold_node(count, 8);
-        let set = settings();
-        let (born, start) = (T0 + 77 * MS, set.rules.start_capacity);
+    let (set, born) = (settings(), T0 + 77 * MS);
+    let start = set.rules.start_capacity;
+    for (count, seed) in
+        [(2, 0), (3, 1), (20, 2), (30, 3), (50, 0), (100, 5), (280, 0), (280, 17), (280, 22), (300, 17)]
+    {
+        let sent = sent_to_a_cold_node(count, 8, seed);
+        let mut used = 0.0;
         for (at, _) in &sent {
             let within = |s: &&(Duration, f64)| s.0 <= *at && s.0 + set.rules.tip_after > *at;
             let units: f64 = sent.iter().filter(within).map(|s| s.1).sum();
             let warm = nanos(*at - born) / nanos(set.rules.warm_up);
             let bears = set.cold_bears * (start + (1.0 - start) * warm) / start;
             let (mean, whole) = (of_many(count, 0).unit_mean, count == 2);
-            let chance = if whole { 0.0 } else { mean * (3.0 * (bears / mean).sqrt() + 3.0) };
+            let chance = if whole { 0.0 } else { mean * (2.0 * (bears / mean).sqrt() + 2.0) };
             assert!(units <= bears + chance, "{count} hosts: {units} of {bears} units at {:?}", *at - born);
+            used += units / bears / sent.len() as f64;
         }
+        println!("{count} hosts, seed {seed}: {used:.2} of the budget used where something is sent");
         let early = sent.iter().filter(|s| s.0 < born + 4 * S).count();
         // Two hosts send requests of 1 to 8 units, the node does not two of them a second at its start.
         assert!(early >= 3, "{count} hosts: {early} sends in the first 4 s");
