--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -220,6 +220,51 @@
     }
 }
 
+/// Nine in ten restarted processes are to be ready within 10 s, also where discovery says nothing, refuses connections or
+/// calls, or gives a head and no more: eight at once with each, and all of them.
+#[test]
+fn processes_are_ready_soon_whatever_discovery_does() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let says = |head: &'static str| {
+        let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+        let place = agent.local_addr().unwrap().to_string();
+        std::thread::spawn(move || {
+            let mut held = Vec::new();
+            for stream in agent.incoming() {
+                let mut stream = stream.unwrap();
+                // Whoever asks may be gone by now.
+                let _ = stream.write_all(head.as_bytes());
+                held.push(stream);
+            }
+        });
+        place
+    };
+    let agents = [
+        silent.local_addr().unwrap().to_string(),
+        "127.0.0.1:9".into(),
+        says("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+        says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"),
+    ];
+    for mode in ["pushed", "on_request"] {
+        let text = config("127.0.0.1:0", "1")
+            .replace("{\"balancers\":1,", &format!("{{\"balancers\":1,\"membership-mode\":\"{mode}\","));
+        let path = file(&format!("ready-{mode}.json"), &text);
+        let start = std::time::Instant::now();
+        let mut started = Vec::new();
+        for agent in agents.iter().flat_map(|agent| [agent; 8]) {
+            let mut child =
+                Running(shaletack(&["--config", &path]).env("ROUTER_DISCOVERY", agent).spawn().unwrap());
+            let lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
+            started.push((child, lines));
+        }
+        for (_, lines) in &mut started {
+            let line = lines.find(|l| l.contains(" listens for ")).expect("it says where");
+            assert_eq!(exchange(&mut TcpStream::connect(field(&line, "at")).unwrap(), "GET /_health").0, 200);
+        }
+        assert!(start.elapsed() < std::time::Duration::from_secs(8), "{:?}", start.elapsed());
+    }
+}
+
 /// Idle clients took every descriptor, more than the places are: who waited in the backlog waited until they left, and at
 /// a stop was reset.
 #[test]
