Tests share what they keep of the log, and one read at a box

What the change had written twice: Kept stood in tests/peers.rs and tests/log.rs (now tests/common/kept.rs), an errand twice in tests/crossings.rs. No test changes what it asks.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A driver for one module alone: feeds events, keeps what it did.
 #![allow(dead_code)]
 
+pub mod kept;
 pub mod net;
 pub mod process;
 
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -270,6 +270,19 @@
     });
 }
 
+/// One read, as it passes on.
+fn reads(boxes: &Rc<Boxes>) -> Passed {
+    Passed {
+        boxes: boxes.clone(),
+        method: actix_http::Method::GET,
+        target: "/leitura/1".into(),
+        trace: "1".into(),
+        key: None,
+        body: Carried::None,
+        rest: Rc::default(),
+    }
+}
+
 /// A repeat by key leaves a connection's time of what its box remembers. Where all places were taken it waited for one
 /// before that time began, and could be written late.
 #[test]
@@ -278,18 +291,7 @@
         let boxed = HttpBox::start(|_, _| None).await;
         let host = host(&operator(&[(boxed.address, 0), (boxed.address, 1)]).settings);
         let boxes = Boxes::new(&host, 1);
-        let attempt = || {
-            let errand = Passed {
-                boxes: boxes.clone(),
-                method: actix_http::Method::GET,
-                target: "/leitura/1".into(),
-                trace: "1".into(),
-                key: None,
-                body: Carried::None,
-                rest: Rc::default(),
-            };
-            errand.attempt(boxed.address, Duration::from_secs(2), Box::new(|_| {}))
-        };
+        let attempt = || reads(&boxes).attempt(boxed.address, Duration::from_secs(2), Box::new(|_| {}));
         let first = actix_rt::spawn(attempt());
         boxed.came.notified().await;
         let start = Instant::now();
@@ -335,16 +337,7 @@
         for (text, shows, whole) in forms {
             for cut in 0..=text.len() {
                 next.set((text, cut));
-                let errand = Passed {
-                    boxes: boxes.clone(),
-                    method: actix_http::Method::GET,
-                    target: "/leitura/1".into(),
-                    trace: "1".into(),
-                    key: None,
-                    body: Carried::None,
-                    rest: Rc::default(),
-                };
-                let reply = errand.attempt(boxed, Duration::from_secs(2), Box::new(|_| {})).await;
+                let reply = reads(&boxes).attempt(boxed, Duration::from_secs(2), Box::new(|_| {})).await;
                 if cut == text.len() && shows {
                     assert_eq!(reply.end, whole, "{text:?}");
                 } else {
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -1,39 +1,18 @@
 //! The log's forms, its bound, and what a notice looks like in it.
 
+mod common;
+use common::kept::Kept;
 use shaletack::notice::Notice;
-use shaletack::runtime::log::{subscriber, write, Form, Window, LINES_MOST, WINDOW};
+use shaletack::runtime::log::{write, Form, Window, LINES_MOST, WINDOW};
 use simd_json::prelude::*;
-use std::io::{self, Write};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tracing::level_filters::LevelFilter;
 use tracing::{debug, info};
 
-#[derive(Clone, Default)]
-struct Kept(Arc<Mutex<Vec<u8>>>);
-
-impl Write for Kept {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().extend(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-impl Kept {
-    fn lines(&self) -> Vec<String> {
-        String::from_utf8(self.0.lock().unwrap().clone()).unwrap().lines().map(String::from).collect()
-    }
-}
-
 fn under(form: Form, level: LevelFilter, told: impl FnOnce()) -> Vec<String> {
-    let kept = Kept::default();
-    let out = kept.clone();
-    tracing::subscriber::with_default(subscriber(form, level, move || out.clone()), told);
-    kept.lines()
+    let (kept, _guard) = Kept::start(form, level);
+    told();
+    kept.lines("")
 }
 
 #[test]
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -3,6 +3,7 @@
 mod common;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
+use common::kept::Kept;
 use common::net::*;
 use common::process::Process;
 use shaletack::broker::{Broker, Clock, Input};
@@ -12,48 +13,16 @@
 use shaletack::operator;
 use shaletack::peers::{observer, Peers};
 use shaletack::runtime::host::Host;
-use shaletack::runtime::log::{subscriber, Form};
+use shaletack::runtime::log::Form;
 use shaletack_knowledge::{Observer, Standing, Told, What};
 use shaletack_peers::frame;
-use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::process::Command;
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tracing::level_filters::LevelFilter;
 
-/// What the story's thread logs.
-#[derive(Clone, Default)]
-struct Kept(Arc<Mutex<Vec<u8>>>);
-
-impl Write for Kept {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().extend(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-impl Kept {
-    fn start() -> (Self, tracing::subscriber::DefaultGuard) {
-        let kept = Kept::default();
-        let out = kept.clone();
-        let guard =
-            tracing::subscriber::set_default(subscriber(Form::Text, LevelFilter::INFO, move || out.clone()));
-        (kept, guard)
-    }
-
-    fn lines(&self, with: &str) -> Vec<String> {
-        let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
-        text.lines().filter(|l| l.contains(with)).map(String::from).collect()
-    }
-}
-
 fn member(id: &str, readiness: Readiness) -> Member {
     let address = Some("127.0.0.1:9".parse().unwrap());
     Member { id: id.into(), address, zone: String::new(), shard: 0, readiness, up_since: None }
@@ -84,7 +53,7 @@
 #[test]
 fn an_initiator_knows_at_its_start_what_its_peer_knows_and_hears_the_rest_while_it_runs() {
     story(async {
-        let (log, _guard) = Kept::start();
+        let (log, _guard) = Kept::start(Form::Text, LevelFilter::INFO);
         let boxes = || vec![member("s-1", Readiness::Ready), member("s-2", Readiness::Ready)];
         let (a, a_peers, _) = initiator("a", &[], boxes()).await;
         let news = |id, readiness| {
@@ -111,7 +80,7 @@
 #[test]
 fn bad_peers_cost_one_line_each_and_teach_nothing() {
     story(async {
-        let (log, _guard) = Kept::start();
+        let (log, _guard) = Kept::start(Form::Text, LevelFilter::INFO);
         let lie = Told {
             what: What::Standing("s-1".into(), Standing::Gone),
             by: Observer { name: "x".into(), life: 1 },
@@ -187,7 +156,7 @@
 #[test]
 fn two_processes_of_one_name_are_told_of_once_and_both_serve_on() {
     story(async {
-        let (log, _guard) = Kept::start();
+        let (log, _guard) = Kept::start(Form::Text, LevelFilter::INFO);
         let boxes = || vec![member("s-1", Readiness::Ready)];
         let (_a, a, _) = initiator("a", &[], boxes()).await;
         let (_b, b, _) = initiator("a", &[a.at()], boxes()).await;
