News spreads by rumours and digests, and amounts are summed, in place of the exchange

Need: the exchange of facts (one member a second in the order of addresses, three hops) does not carry a large fleet. The exchange over TCP stays for starts and for members of the release before, who get no datagram: an answer's round trip, 0 before, says who spreads. Peers' zone and region are keys of the operator's file. A review of advice looks only at boxes that somebody speaks of.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -3,7 +3,7 @@
 
 use crate::choice::Scheduler;
 use crate::ending::End;
-use crate::hearsay::{Listed, Peers};
+use crate::hearsay::{Amounts, Listed, Peers, Totals};
 use crate::interface::{Effect as Repeat, *};
 use crate::members::{Member, Members};
 use crate::notice::Notice;
@@ -136,6 +136,10 @@
     Stale(bool),
     /// What a peer told, and the round trip of that exchange.
     Told(Observer, Duration, Vec<Told>),
+    /// What was news among the peers, checked by whoever brings it.
+    Learnt(Vec<Told>),
+    /// What all other initiators together are asked for and have spent.
+    Totals(Totals),
     /// A wait is over.
     Woke,
 }
@@ -173,6 +177,8 @@
     Wake(Instant),
     /// Something for the operators to know.
     Log(Notice),
+    /// All that this process sees of boxes now, for its peers; what of it is news is for the spread to find.
+    Say(Vec<Told>),
 }
 
 /// What became of the requests of one class.
@@ -317,6 +323,13 @@
         self.peers.as_ref().map_or(Vec::new(), |peers| peers.tell(at, &self.boxes(), &self.scheduler))
     }
 
+    /// What this process adds to the sums over all initiators; nothing where peers are off.
+    pub fn amounts(&self, now: Instant) -> Amounts {
+        let at = self.clock.time(now);
+        let peers = self.peers.as_ref();
+        peers.map_or_else(Amounts::default, |peers| peers.amounts(at, &self.boxes(), &self.scheduler))
+    }
+
     /// Whether it knows of a disk box to send to.
     pub fn is_ready(&self) -> bool {
         !self.addresses.is_empty()
@@ -342,6 +355,7 @@
         let at = self.clock.time(now);
         let (mut effects, mut events) = (Vec::new(), Vec::new());
         let mut review = matches!(input, Input::Order(_) | Input::Inherit(..));
+        let mut say = review || matches!(input, Input::List(_) | Input::Current);
         match input {
             Input::Arrived(id, ask) => events.extend(self.arrived(at, id, ask)),
             Input::Ended(id, number, reply) => events.extend(self.ended(at, id, number, reply, &mut effects)),
@@ -374,6 +388,18 @@
                 }
                 review = true;
             }
+            Input::Learnt(told) => {
+                if let Some(peers) = &mut self.peers {
+                    peers.learn(at, told);
+                }
+                review = true;
+            }
+            Input::Totals(totals) => {
+                if let Some(peers) = &mut self.peers {
+                    peers.sum(at, totals);
+                }
+                review = true;
+            }
             Input::Settings(set) => events.push(self.retune(at, *set)),
             Input::Part(part) => events.push(Event::Part(part)),
             Input::Inherit(legacy, part) => events.extend(self.inherit(at, *legacy, part, &mut effects)),
@@ -398,11 +424,16 @@
             events.push(Event::Timer);
         }
         // What fails here is held back before it is tried again, as it is at those who hear of it.
-        review |= self.peers.as_mut().is_some_and(|peers| peers.watch(at, &events));
+        let watched = self.peers.as_mut().map(|peers| peers.watch(at, &events)).unwrap_or_default();
+        review |= watched.failing;
+        say |= watched.tells;
         let due = self.peers.as_ref().and_then(Peers::changes_at).is_some_and(|then| then <= at);
         if self.peers.is_some() && (review || due) {
             events.extend(self.review(at, &mut effects));
         }
+        if say {
+            effects.extend(self.say(at));
+        }
         self.recall(at, &mut events, &mut effects);
         let mut actions = Vec::new();
         while !events.is_empty() {
@@ -449,6 +480,14 @@
         vec![Event::List { kind: ListKind::Changes, lines }, Event::Hearsay(hearsay)]
     }
 
+    /// What this process sees, where there is anything for peers.
+    fn say(&mut self, at: Duration) -> Option<Effect> {
+        let mut peers = self.peers.take()?;
+        let told = peers.say(at, &self.boxes(), &self.scheduler);
+        self.peers = Some(peers);
+        (!told.is_empty()).then_some(Effect::Say(told))
+    }
+
     fn arrived(&mut self, at: Duration, id: RequestId, ask: Ask) -> Option<Event> {
         if self.open.contains_key(&id) {
             return None;
--- a/crates/core/src/choice/hearsay.rs
+++ b/crates/core/src/choice/hearsay.rs
@@ -11,6 +11,8 @@
 pub(super) struct Said {
     spent: BTreeMap<NodeId, (f64, Duration)>,
     demand: BTreeMap<VolumeId, (f64, Duration)>,
+    /// The moments of what was said that volumes go by.
+    used: BTreeMap<VolumeId, Duration>,
 }
 
 impl Scheduler {
@@ -25,6 +27,17 @@
         let now = self.now;
         self.said.spent = spent.iter().map(|(id, units)| (*id, (*units, now))).collect();
         self.said.demand = demand.iter().map(|(id, rate, seen)| (*id, (*rate, *seen))).collect();
+        // What boxes say of a volume's other hosts is nearer to them, and goes first while it is news.
+        self.said.used.retain(|id, _| self.volumes.contains_key(id));
+        for (id, rate, seen) in demand {
+            let Some(volume) = self.volumes.get_mut(id) else { continue };
+            let by_boxes = volume.news_at.filter(|at| self.said.used.get(id) != Some(at));
+            if by_boxes.is_none_or(|at| now > at + STALE_LEASES * LEASE) {
+                volume.others = Rate { value: *rate, at: now };
+                volume.news_at = Some(*seen);
+                self.said.used.insert(*id, *seen);
+            }
+        }
     }
 
     /// By how much a node can do more than just after its start, at that age.
@@ -63,6 +76,7 @@
         if let (Some((rate, seen)), Some(volume)) = (fresh, self.volumes.get_mut(&req.volume)) {
             volume.others = Rate { value: rate, at: self.now };
             volume.news_at = Some(seen);
+            self.said.used.insert(req.volume, seen);
         }
     }
 
--- a/crates/core/src/hearsay.rs
+++ b/crates/core/src/hearsay.rs
@@ -2,15 +2,19 @@
 //! There is none of this where peers are off.
 
 use crate::choice::Scheduler;
-use crate::interface::{Attempt, Ending, Event, Hearsay, NodeId, Readiness, VolumeId};
+use crate::interface::{Attempt, Ending, Event, Hearsay, NodeId, Readiness, Rules, VolumeId};
 use crate::members::Member;
 use shaletack_knowledge::fact::Topic;
 use shaletack_knowledge::{
-    demand, spent, weigh, Advice, Fact, Health, Knowledge, Observer, Own, Refused, Standing, Told, What, KEPT,
+    demand, spent, weigh, Advice, Fact, Health, Knowledge, Observer, Own, Refused, Standing, Told, What,
+    KEPT, RATES,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// What attempts say of a box that goes on failing is told this often.
+const TOLD_EVERY: Duration = Duration::from_secs(1);
+
 /// A thousandth of a unit, in which amounts travel.
 const MILLI: f64 = 1000.0;
 
@@ -66,6 +70,40 @@
     unready: BTreeMap<String, Duration>,
     health: BTreeMap<NodeId, Health>,
     advice: BTreeMap<String, Advice>,
+    /// When this process last said what it sees.
+    said_at: Duration,
+    /// What all others together are asked for by volume, and when that was so.
+    demand: BTreeMap<VolumeId, (u64, Duration)>,
+    /// What all others together spent at a cold box since that start of it, and when.
+    spent: BTreeMap<(String, u64), (u64, Duration)>,
+}
+
+/// What this process adds to the sums over all, in thousandths of a unit.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Amounts {
+    /// What it is asked for a second, by volume.
+    pub demand: Vec<(VolumeId, u64)>,
+    /// What it spent at cold boxes within the window that the rules name, by name and start; none spent as well, since
+    /// only who adds to a sum hears of it.
+    pub spent: Vec<(String, u64, u64)>,
+}
+
+/// What all others together add, and how old the oldest part of each sum is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// By volume, in thousandths of a unit a second.
+    pub demand: Vec<(VolumeId, u64, Duration)>,
+    /// By a cold box's name and start, in thousandths of a unit.
+    pub spent: Vec<(String, u64, u64, Duration)>,
+}
+
+/// What attempts brought.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Watched {
+    /// A box fails: its advice is due for review.
+    pub failing: bool,
+    /// It is for others to know.
+    pub tells: bool,
 }
 
 impl Peers {
@@ -79,6 +117,9 @@
             unready: BTreeMap::new(),
             health: BTreeMap::new(),
             advice: BTreeMap::new(),
+            said_at: Duration::ZERO,
+            demand: BTreeMap::new(),
+            spent: BTreeMap::new(),
         }
     }
 
@@ -92,21 +133,41 @@
         self.knowledge.hear(at, trip, &self.me, from, told).1
     }
 
-    /// Keeps what attempts say of their boxes; whether one of them fails now.
-    pub fn watch(&mut self, at: Duration, events: &[Event]) -> bool {
-        let mut failing = false;
+    /// Takes what was news among the peers, checked by whoever brings it.
+    pub fn learn(&mut self, at: Duration, told: Vec<Told>) {
+        for told in told.into_iter().filter(|told| told.by != self.me) {
+            self.knowledge.learn(told.heard(at, Duration::ZERO));
+        }
+    }
+
+    /// Takes the sums over all others; what is not among them is not known.
+    pub fn sum(&mut self, at: Duration, totals: Totals) {
+        let Totals { demand, spent } = totals;
+        let seen = |age: Duration| at.saturating_sub(age);
+        self.demand = demand.into_iter().map(|(volume, others, age)| (volume, (others, seen(age)))).collect();
+        self.spent =
+            spent.into_iter().map(|(id, start, others, age)| ((id, start), (others, seen(age)))).collect();
+    }
+
+    /// Keeps what attempts say of their boxes.
+    pub fn watch(&mut self, at: Duration, events: &[Event]) -> Watched {
+        let mut watched = Watched::default();
+        let again = at >= self.said_at + TOLD_EVERY;
         for event in events {
             let Event::Attempt(Attempt { node, ending, .. }) = event else { continue };
             let health = self.health.entry(*node).or_default();
+            let was = health.verdict().map(|(failing, _)| failing);
             match ending {
                 Ending::Served => health.answers(at),
                 Ending::Error | Ending::TimedOut | Ending::Broken | Ending::NoConnection => {
-                    failing |= health.fails(at);
+                    watched.failing |= health.fails(at);
                 }
                 Ending::TurnedAway | Ending::Cancelled | Ending::Void => {}
             }
+            let is = health.verdict().map(|(failing, _)| failing);
+            watched.tells |= is != was || (again && is == Some(true));
         }
-        failing
+        watched
     }
 
     /// The advice on a box, as last reviewed.
@@ -119,22 +180,32 @@
         self.advice.values().filter_map(Advice::changes_at).min()
     }
 
-    /// Weighs all anew: which boxes' advice changed.
+    /// Weighs all anew: which boxes' advice changed. Only boxes that somebody speaks of, or that fail here, are looked
+    /// at one by one: there is no advice on the others.
     pub fn review(&mut self, at: Duration, boxes: &BTreeMap<&str, Listed>) -> Vec<Change> {
         self.knowledge.forget(at, |id| boxes.contains_key(id));
         self.met.retain(|id, _| boxes.contains_key(id.as_str()));
         self.unready.retain(|id, seen| boxes.contains_key(id.as_str()) && at <= *seen + KEPT);
-        let nodes: BTreeSet<NodeId> = boxes.values().map(|b| b.node).collect();
-        self.health.retain(|node, _| nodes.contains(node));
+        if !self.health.is_empty() {
+            let nodes: BTreeSet<NodeId> = boxes.values().map(|b| b.node).collect();
+            self.health.retain(|node, _| nodes.contains(node));
+        }
+        let mut spoken_of: BTreeSet<&str> = self.knowledge.facts().filter_map(|f| f.what.about()).collect();
         for (id, listed) in boxes {
             let start = listed.start();
-            let met = self.met.entry((*id).to_owned()).or_insert((start, at));
-            if met.0 != start {
-                *met = (start, at);
+            match self.met.get_mut(*id) {
+                Some(met) if met.0 == start => {}
+                Some(met) => *met = (start, at),
+                None => {
+                    self.met.insert((*id).to_owned(), (start, at));
+                }
             }
             if !listed.is_ready() {
                 self.unready.insert((*id).to_owned(), at);
             }
+            if self.health.get(&listed.node).is_some_and(|health| health.failing().is_some()) {
+                spoken_of.insert(id);
+            }
         }
         let own = |id: &str, listed: &Listed, replaced: bool| Own {
             start: listed.start(),
@@ -144,21 +215,28 @@
             failing: self.health.get(&listed.node).and_then(Health::failing),
             replaced,
         };
+        let spoken_of: Vec<(&str, &Listed)> =
+            spoken_of.into_iter().filter_map(|id| Some((id, boxes.get(id)?))).collect();
         // What serves a shard: what is neither stopped nor held back, each hold taking one away.
         let mut serving: BTreeMap<u16, usize> = BTreeMap::new();
-        for (id, listed) in boxes {
+        for listed in boxes.values() {
+            *serving.entry(listed.member.shard).or_default() += usize::from(listed.is_ready());
+        }
+        for (id, listed) in &spoken_of {
             let stopped = weigh(&self.knowledge, id, &own(id, listed, false), at).stop_until.is_some();
-            *serving.entry(listed.member.shard).or_default() += usize::from(listed.is_ready() && !stopped);
+            if stopped && listed.is_ready() {
+                *serving.entry(listed.member.shard).or_default() -= 1;
+            }
         }
         let mut fresh = BTreeMap::new();
-        for (id, listed) in boxes {
+        for (id, listed) in spoken_of {
             let others = serving.entry(listed.member.shard).or_default();
             let advice = weigh(&self.knowledge, id, &own(id, listed, *others > 1), at);
             if advice.hold_until.is_some() && advice.stop_until.is_none() && listed.is_ready() {
                 *others -= 1;
             }
             if advice != Advice::default() {
-                fresh.insert((*id).to_owned(), advice);
+                fresh.insert(id.to_owned(), advice);
             }
         }
         let old = std::mem::replace(&mut self.advice, fresh);
@@ -175,17 +253,32 @@
     /// What bears on boxes and volumes beside the list's lines.
     pub fn hearsay(&self, at: Duration, window: Duration, boxes: &BTreeMap<&str, Listed>) -> Hearsay {
         let holds = boxes.iter().filter_map(|(id, b)| Some((b.node, self.advice(id).hold_until?)));
-        let spent = boxes.iter().map(|(id, b)| {
-            let units = spent(&self.knowledge, id, b.start(), window, at);
-            (b.node, units as f64 / MILLI)
+        // Facts come from those of the release before, which are in no sum; the rest is in the sums.
+        let at_boxes = self.knowledge.facts().filter_map(|f| match &f.what {
+            What::Spent(id, _) => Some(id.as_str()),
+            _ => None,
+        });
+        let at_boxes: BTreeSet<&str> = at_boxes.chain(self.spent.keys().map(|(id, _)| id.as_str())).collect();
+        let spent = at_boxes.into_iter().filter_map(|id| {
+            let listed = boxes.get(id)?;
+            let told = spent(&self.knowledge, id, listed.start(), window, at);
+            let summed = self.spent.get(&(id.to_owned(), listed.start()));
+            let summed = summed.filter(|(_, seen)| at < *seen + window).map_or(0, |(units, _)| *units);
+            Some((listed.node, told.saturating_add(summed) as f64 / MILLI))
         });
         let asked = self.knowledge.facts().filter_map(|f| match f.what {
             What::Demand(volume, _) => Some(volume),
             _ => None,
         });
-        let volumes: BTreeSet<VolumeId> = asked.collect();
+        let summed = |volume: &VolumeId| self.demand.get(volume).filter(|(_, seen)| at <= *seen + RATES);
+        let volumes: BTreeSet<VolumeId> = asked.chain(self.demand.keys().copied()).collect();
         let demand = volumes.into_iter().filter_map(|volume| {
-            let (rate, age) = demand(&self.knowledge, volume, &self.me, at)?;
+            let told = demand(&self.knowledge, volume, &self.me, at);
+            let summed = summed(&volume).map(|(rate, seen)| (*rate, at.saturating_sub(*seen)));
+            let (rate, age) = match (told, summed) {
+                (Some(a), Some(b)) => (a.0.saturating_add(b.0), a.1.max(b.1)),
+                (one, other) => one.or(other)?,
+            };
             Some((volume, rate as f64 / MILLI, at.saturating_sub(age)))
         });
         Hearsay {
@@ -195,13 +288,64 @@
         }
     }
 
-    /// What a peer is told.
+    /// What a peer is told in an exchange: what this process sees, spent and is asked for, and what it heard.
     pub fn tell(&self, at: Duration, boxes: &BTreeMap<&str, Listed>, scheduler: &Scheduler) -> Vec<Told> {
+        let mut own = self.sees(at, boxes, scheduler);
+        let mut say = |what, start| own.push(Fact { what, by: self.me.clone(), start, hops: 0, seen: at });
+        for (id, start, units) in self.spends(at, boxes, scheduler).into_iter().filter(|s| s.2 > 0) {
+            say(What::Spent(id, units), start);
+        }
+        for (volume, rate) in scheduler.demands(at) {
+            say(What::Demand(volume, (rate * MILLI) as u64), 0);
+        }
+        self.knowledge.tell(at, &self.me, own)
+    }
+
+    /// What this process sees first-hand, for all to hear.
+    pub fn say(&mut self, at: Duration, boxes: &BTreeMap<&str, Listed>, scheduler: &Scheduler) -> Vec<Told> {
+        self.said_at = at;
+        self.sees(at, boxes, scheduler).iter().filter_map(|fact| fact.told(at, &self.me)).collect()
+    }
+
+    /// What this process spent at cold boxes within the window that the rules name, in thousandths of a unit, by box
+    /// and start.
+    fn spends(
+        &self,
+        at: Duration,
+        boxes: &BTreeMap<&str, Listed>,
+        scheduler: &Scheduler,
+    ) -> Vec<(String, u64, u64)> {
+        let rules = scheduler.rules();
+        let cold = boxes.iter().filter(|(id, listed)| self.cold_since(id, listed, rules, at).is_some());
+        let spent = cold.map(|(id, listed)| {
+            let units = scheduler.spent(listed.node, rules.tip_after, at);
+            ((*id).to_owned(), listed.start(), (units * MILLI).ceil() as u64)
+        });
+        spent.collect()
+    }
+
+    /// What this process adds to the sums over all.
+    pub fn amounts(&self, at: Duration, boxes: &BTreeMap<&str, Listed>, scheduler: &Scheduler) -> Amounts {
+        let demand = scheduler.demands(at).map(|(volume, rate)| (volume, (rate * MILLI) as u64));
+        Amounts { demand: demand.collect(), spent: self.spends(at, boxes, scheduler) }
+    }
+
+    /// When a box that takes work but is not warm yet started.
+    fn cold_since(&self, id: &str, listed: &Listed, rules: &Rules, at: Duration) -> Option<Duration> {
+        if listed.born.is_zero() || !listed.is_ready() {
+            return None;
+        }
+        // It can't have started after it was first known to have, whatever this process's clock says.
+        let met = self.met.get(id).map_or(at, |(_, met)| *met);
+        Some(listed.born.min(met)).filter(|born| at < *born + rules.warm_up)
+    }
+
+    fn sees(&self, at: Duration, boxes: &BTreeMap<&str, Listed>, scheduler: &Scheduler) -> Vec<Fact> {
         let mut own = Vec::new();
         let mut say = |what, start, seen| own.push(Fact { what, by: self.me.clone(), start, hops: 0, seen });
         let rules = scheduler.rules();
         for (id, listed) in boxes {
-            let (id, start) = (|| (*id).to_owned(), listed.start());
+            let (name, start) = (|| (*id).to_owned(), listed.start());
             let standing = match listed.member.readiness {
                 _ if listed.suspended => Some((Standing::Draining, at)),
                 Readiness::Ready => self.dated.map(|seen| (Standing::Ready, seen)),
@@ -209,30 +353,21 @@
                 Readiness::Gone => self.dated.map(|seen| (Standing::Gone, seen)),
             };
             // That a box takes work is news only where somebody may think otherwise.
-            let known = self.knowledge.get(&Topic::Standing(id()));
-            let doubted = known.is_some_and(|f| !matches!(f.what, What::Standing(_, Standing::Ready)));
-            let needed = |s: Standing| s != Standing::Ready || doubted || self.unready.contains_key(&id());
+            let doubted = || {
+                let known = self.knowledge.get(&Topic::Standing(name()));
+                known.is_some_and(|f| !matches!(f.what, What::Standing(_, Standing::Ready)))
+            };
+            let needed = |s: Standing| s != Standing::Ready || self.unready.contains_key(*id) || doubted();
             if let Some((standing, seen)) = standing.filter(|(s, _)| needed(*s)) {
-                say(What::Standing(id(), standing), start, seen);
+                say(What::Standing(name(), standing), start, seen);
             }
             if let Some((failing, seen)) = self.health.get(&listed.node).and_then(Health::verdict) {
-                say(What::Failing(id(), failing), start, seen);
+                say(What::Failing(name(), failing), start, seen);
             }
-            // It can't have started after it was first known to have, whatever this process's clock says.
-            let met = self.met.get(&id()).map_or(at, |(_, met)| *met);
-            let born = listed.born.min(met);
-            let cold = !listed.born.is_zero() && at < born + rules.warm_up;
-            if cold && listed.is_ready() {
-                say(What::Started(id(), at.saturating_sub(born)), start, at);
-                let units = scheduler.spent(listed.node, rules.tip_after, at);
-                if units > 0.0 {
-                    say(What::Spent(id(), (units * MILLI).ceil() as u64), start, at);
-                }
+            if let Some(born) = self.cold_since(id, listed, rules, at) {
+                say(What::Started(name(), at.saturating_sub(born)), start, at);
             }
         }
-        for (volume, rate) in scheduler.demands(at) {
-            say(What::Demand(volume, (rate * MILLI) as u64), 0, at);
-        }
-        self.knowledge.tell(at, &self.me, own)
+        own
     }
 }
--- a/crates/core/tests/peers.rs
+++ b/crates/core/tests/peers.rs
@@ -109,7 +109,7 @@
                 Effect::Abort(request, number) => self.flying.retain(|f| (f.0, f.1) != (request, number)),
                 Effect::Answer(request, answer) => self.answers.push((request, answer)),
                 Effect::Log(notice) => self.notices.push(notice),
-                Effect::Wake(_) => {}
+                Effect::Wake(_) | Effect::Say(_) => {}
             }
         }
     }
--- a/crates/knowledge/src/fact.rs
+++ b/crates/knowledge/src/fact.rs
@@ -97,6 +97,19 @@
         }
     }
 
+    /// How needed it is, the most needed first: what is left out first when not all fits has the greatest number.
+    pub fn need(&self) -> u64 {
+        match self {
+            What::Spent(..) => 0,
+            What::Started(..) => 1,
+            What::Standing(_, Standing::Draining | Standing::Gone) => 2,
+            What::Failing(_, true) => 3,
+            What::Standing(..) => 4,
+            What::Failing(_, false) => 5,
+            What::Demand(_, rate) => u64::MAX - rate.min(&(u64::MAX - 6)),
+        }
+    }
+
     /// Amounts count only from who counted them: passed on, they would be counted twice.
     pub fn is_amount(&self) -> bool {
         matches!(self, What::Spent(..) | What::Demand(..))
--- a/crates/knowledge/src/lib.rs
+++ b/crates/knowledge/src/lib.rs
@@ -27,8 +27,11 @@
 pub const HELD: Duration = Duration::from_secs(2);
 /// Rates that are older say nothing of now.
 pub const RATES: Duration = Duration::from_secs(4);
-/// A fact that was passed on so often goes no further.
-pub const HOPS_MOST: u8 = 3;
+/// A fact that was passed on so often goes no further: a rumour takes some 7 hops to 570 initiators.
+pub const HOPS_MOST: u8 = 32;
+/// In an exchange over TCP facts say at most so many hops: a process of the release before takes no more, and passes
+/// such a one no further.
+pub const HOPS_EXCHANGED: u8 = 3;
 /// Facts kept; past it those of boxes that nobody here knows go first, then the oldest.
 pub const FACTS_MOST: usize = 8192;
 /// The longest name of a box or an observer.
--- a/crates/knowledge/src/store.rs
+++ b/crates/knowledge/src/store.rs
@@ -1,7 +1,7 @@
 //! What one process knows: by topic the greatest fact. The merge is a join.
 
-use crate::fact::{Fact, Observer, Standing, Told, Topic, What};
-use crate::{FACTS_MOST, HOPS_MOST, KEPT};
+use crate::fact::{Fact, Observer, Told, Topic};
+use crate::{FACTS_MOST, HOPS_EXCHANGED, HOPS_MOST, KEPT};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -111,8 +111,9 @@
         for fact in passed.cloned().chain(own) {
             all.learn(fact);
         }
-        let mut told: Vec<Told> = all.facts.into_values().filter_map(|f| f.told(now, me)).collect();
-        told.sort_by_key(|t| (need(&t.what), t.hops, t.age));
+        let told = all.facts.into_values().filter_map(|f| f.told(now, me));
+        let mut told: Vec<Told> = told.map(|t| Told { hops: t.hops.min(HOPS_EXCHANGED), ..t }).collect();
+        told.sort_by_key(|t| (t.what.need(), t.hops, t.age));
         told
     }
 
@@ -121,16 +122,3 @@
         self.facts.iter().filter(move |(t, _)| of(t)).map(|(_, f)| f)
     }
 }
-
-/// What is left out first when not all fits has the greatest number.
-fn need(what: &What) -> u64 {
-    match what {
-        What::Spent(..) => 0,
-        What::Started(..) => 1,
-        What::Standing(_, Standing::Draining | Standing::Gone) => 2,
-        What::Failing(_, true) => 3,
-        What::Standing(..) => 4,
-        What::Failing(_, false) => 5,
-        What::Demand(_, rate) => u64::MAX - rate.min(&(u64::MAX - 6)),
-    }
-}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -394,7 +394,7 @@
                     self.at(after, Event::Wakes(i, wake));
                 }
                 // What was given up goes on at its box: that work is wasted, as it is in life.
-                Effect::Abort(..) | Effect::Log(_) => {}
+                Effect::Abort(..) | Effect::Log(_) | Effect::Say(_) => {}
             }
         }
     }
--- a/crates/peers/src/frame.rs
+++ b/crates/peers/src/frame.rs
@@ -13,6 +13,9 @@
 /// The bytes before a message.
 pub const HEAD: usize = 14;
 const MAGIC: [u8; 4] = *b"STPX";
+/// The round trip in an answer, where nobody measured one and the release before says 0: whoever answers so takes
+/// the spread's datagrams (`shaletack-spread`).
+pub const SPREADS: Duration = Duration::from_nanos(1);
 /// Room for what is not a fact: the teller and the count.
 const ENVELOPE: usize = 256;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,9 @@
 //! out the effects it gets back. Every decision is in [`choice`]. This package is the program round it: fronts,
 //! box clients, lists of boxes and the command line.
 
-pub use shaletack_core::{asking, broker, choice, ending, interface, json, members, memo, notice, settings};
+pub use shaletack_core::{
+    asking, broker, choice, ending, hearsay, interface, json, members, memo, notice, settings,
+};
 
 pub mod config;
 pub mod etcd;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -67,6 +67,10 @@
     pub listen: SocketAddr,
     /// Peers that may be there.
     pub join: Vec<SocketAddr>,
+    /// The region that this initiator stands in; empty: all are in one.
+    pub region: String,
+    /// Its zone within the region; empty: the region has one.
+    pub zone: String,
 }
 
 /// The buffer for writes.
@@ -178,7 +182,7 @@
             .enumerate()
             .filter_map(|(j, at)| address(at, &format!("/peers/join/{j}"), &mut faults))
             .collect();
-        (peers.name, listen, join)
+        (peers.name, listen, join, peers.region, peers.zone)
     });
     let write_back = file.write_back.map(write_back);
     for (e, export) in file.exports.iter().enumerate().filter(|(_, e)| e.write_back) {
@@ -207,7 +211,9 @@
             exports,
             boxes: Members { revision: 0, kind: ListKind::Cached, entries },
             etcd: etcd.and_then(|(address, prefix)| Some(Etcd { address: address?, prefix })),
-            peers: peers.and_then(|(name, listen, join)| Some(Peers { name, listen: listen?, join })),
+            peers: peers.and_then(|(name, listen, join, region, zone)| {
+                Some(Peers { name, listen: listen?, join, region, zone })
+            }),
             write_back,
             classes,
             settings,
--- a/src/operator/records.rs
+++ b/src/operator/records.rs
@@ -195,6 +195,14 @@
     /// Peers that may be there; any one of them is enough to know all.
     #[schemars(length(max = 64))]
     pub join: Vec<String>,
+    /// The region that this initiator stands in, where there is more than one.
+    #[serde(default)]
+    #[schemars(length(max = 64))]
+    pub region: String,
+    /// Its zone within the region: most news goes to peers of the same zone first.
+    #[serde(default)]
+    #[schemars(length(max = 64))]
+    pub zone: String,
 }
 
 /// The buffer for writes.
--- a/src/peers/exchange.rs
+++ b/src/peers/exchange.rs
@@ -1,8 +1,6 @@
 //! One exchange over TCP: a frame each way, within a bounded time.
 
-use crate::broker::{Broker, Input};
-use crate::runtime::host::Host;
-use shaletack_knowledge::{Observer, Told};
+use super::Peers;
 use shaletack_peers::frame::{self, Bad, Message, HEAD};
 use std::fmt;
 use std::io::{self, ErrorKind};
@@ -70,54 +68,50 @@
     Ok(frame::message(head, &bytes)?)
 }
 
-fn told(host: &Host) -> Vec<Told> {
-    let now = Instant::now();
-    host.look(|broker: &Broker| broker.tell_peers(now))
-}
-
-fn hear(host: &Host, me: &Observer, message: Message, trip: Duration) -> Result<(), Failure> {
-    if message.from == *me {
-        return Err(Failure::Oneself);
-    }
-    host.feed(Input::Told(message.from, trip.min(EXCHANGE), message.facts));
-    Ok(())
-}
-
-/// Tells a peer what this process knows, and hears what the peer does.
-pub(super) async fn ask(host: &Host, me: &Observer, to: SocketAddr) -> Result<(), Failure> {
+/// Tells a peer what this process knows; what the peer told, and the round trip.
+pub(super) async fn ask(peers: &Peers, to: SocketAddr) -> Result<(Message, Duration), Failure> {
     within(async {
         let start = Instant::now();
         let mut stream = TcpStream::connect(to).await?;
         let trip = start.elapsed();
         let _ = stream.set_nodelay(true);
         let sent = Instant::now();
-        stream.write_all(&frame::encode(me, trip, told(host))).await?;
+        stream.write_all(&frame::encode(peers.me(), trip, peers.told())).await?;
         let message = read(&mut stream).await?;
-        hear(host, me, message, sent.elapsed())
+        if message.from == *peers.me() {
+            return Err(Failure::Oneself);
+        }
+        Ok((message, sent.elapsed()))
     })
     .await
 }
 
-async fn answer(host: &Host, me: &Observer, mut stream: TcpStream) -> Result<(), Failure> {
+async fn answer(peers: &Peers, mut stream: TcpStream) -> Result<Message, Failure> {
     let _ = stream.set_nodelay(true);
     let message = read(&mut stream).await?;
     // What it says bears on the answer only by the next exchange: neither side waits for the other's review.
-    stream.write_all(&frame::encode(me, Duration::ZERO, told(host))).await?;
-    let trip = message.trip;
-    hear(host, me, message, trip)
+    stream.write_all(&frame::encode(peers.me(), frame::SPREADS, peers.told())).await?;
+    if message.from == *peers.me() {
+        return Err(Failure::Oneself);
+    }
+    Ok(message)
 }
 
 /// Answers for as long as the program runs.
-pub(super) async fn serve(host: Host, me: Observer, listener: TcpListener, most: usize) {
+pub(super) async fn serve(peers: Peers, listener: TcpListener, most: usize) {
     let places = Arc::new(Semaphore::new(most));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, from)) => {
-                let (host, me) = (host.clone(), me.clone());
+                let peers = peers.clone();
                 actix_rt::spawn(async move {
-                    if let Err(why) = within(answer(&host, &me, stream)).await {
-                        warn!(peer = %from, %why, "a peer's exchange is not taken");
+                    match within(answer(&peers, stream)).await {
+                        Ok(message) => {
+                            let trip = message.trip;
+                            peers.exchanged(message, trip).await;
+                        }
+                        Err(why) => warn!(peer = %from, %why, "a peer's exchange is not taken"),
                     }
                     drop(place);
                 });
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,35 +1,48 @@
 //! Initiators of one installation, told and asked what each knows of boxes: the sockets round
 //! `shaletack-peers`. Off unless the operator's file says otherwise, and never on the platform.
 //!
-//! It owns the peers' address (UDP for who is alive, TCP for exchanges) and the pace of both. It weighs
-//! nothing: what comes in whole goes to the core, everything else is one line in the log.
+//! It owns the peers' address (UDP for who is alive and for the spread, TCP for exchanges at a start and with the
+//! release before) and the pace of both. It weighs nothing: what comes in whole goes to the core, everything else is
+//! one line in the log.
 
 mod exchange;
 
+use crate::broker;
+use crate::hearsay::{Amounts, Totals};
 use crate::operator;
 use crate::runtime::host::Host;
 use bytes::Bytes;
-use exchange::{ask, serve};
+use exchange::{ask, serve, EXCHANGE};
 use futures_util::future::join_all;
-use shaletack_knowledge::Observer;
+use rand::seq::IteratorRandom;
+use shaletack_knowledge::{Observer, Told};
+use shaletack_peers::frame::{Message, SPREADS};
 use shaletack_peers::membership::{Effect, Input, Membership, Peer, DATAGRAM_MOST};
+use shaletack_spread::spread::{self, Spread};
+use shaletack_spread::sums::{Key, Total};
+use shaletack_spread::{datagram, Place};
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{BuildHasher, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::Notify;
+use tokio::sync::{mpsc, Notify};
 use tokio::task::AbortHandle;
 use tracing::{error, info, warn};
+use xxhash_rust::xxh3::xxh3_64;
 
-/// How often one member is asked while running.
+/// How often one member that is not known to speak the spread is asked over TCP.
 const ASKED_EVERY: Duration = Duration::from_secs(1);
+/// How often this process looks at what it adds to the sums.
+const ADDED_EVERY: Duration = Duration::from_millis(500);
 /// Exchanges that are served at a time; more wait in the backlog.
 const SERVED_MOST: usize = 8;
+/// What this process sees waits so many times at most to be spread; each says all.
+const SAID_MOST: usize = 16;
 
 /// What this process is to its peers: a new one with each start.
 pub fn observer(peers: &operator::Peers) -> Observer {
@@ -41,6 +54,11 @@
     RandomState::new().build_hasher().finish()
 }
 
+/// A cold box and its start in the sums, the same at every initiator.
+fn box_key(id: &str, start: u64) -> u64 {
+    xxh3_64(format!("{start} {id}").as_bytes())
+}
+
 struct Inner {
     host: Host,
     me: Observer,
@@ -49,6 +67,11 @@
     membership: RefCell<Membership>,
     wake: Cell<Option<Duration>>,
     rearm: Notify,
+    spread: RefCell<Spread>,
+    spread_wake: Cell<Option<Duration>>,
+    spread_rearm: Notify,
+    /// Cold boxes and their starts, by their keys in the sums.
+    cold: RefCell<BTreeMap<u64, (String, u64)>>,
     twins: RefCell<BTreeSet<(String, String)>>,
     tasks: RefCell<Vec<AbortHandle>>,
 }
@@ -67,11 +90,19 @@
         let epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let peer = Peer { name: me.name.clone(), life: me.life, epoch: epoch.as_millis() as u64, at };
         info!(at = %at, name = me.name, listed = set.join.len(), "listens for peers");
+        let place = Place { region: set.region.clone(), zone: set.zone.clone() };
+        let spread = Spread::new(me.clone(), at, place, drawn(), Duration::ZERO);
+        let (say, said) = mpsc::channel(SAID_MOST);
+        host.say_to(say);
         let peers = Peers(Rc::new(Inner {
             host,
             me,
             start: Instant::now(),
             udp,
+            spread: RefCell::new(spread),
+            spread_wake: Cell::new(None),
+            spread_rearm: Notify::new(),
+            cold: RefCell::default(),
             membership: RefCell::new(Membership::new(peer, set.join.clone(), drawn())),
             wake: Cell::new(None),
             rearm: Notify::new(),
@@ -86,9 +117,9 @@
         peers.feed(Input::Woke).await;
         peers.spawn(peers.clone().hear());
         peers.spawn(peers.clone().keep_time());
+        peers.spawn(peers.clone().keep_spreading(said));
         peers.spawn(peers.clone().keep_asking());
-        let (host, me) = (peers.0.host.clone(), peers.0.me.clone());
-        peers.spawn(serve(host, me, tcp, SERVED_MOST));
+        peers.spawn(serve(peers.clone(), tcp, SERVED_MOST));
         Ok(peers)
     }
 
@@ -112,12 +143,120 @@
         self.0.membership.borrow().peers().map(|peer| peer.name.clone()).collect()
     }
 
+    fn me(&self) -> &Observer {
+        &self.0.me
+    }
+
+    /// What an exchange tells.
+    fn told(&self) -> Vec<Told> {
+        let now = Instant::now();
+        self.0.host.look(|broker| broker.tell_peers(now))
+    }
+
     async fn ask(&self, to: SocketAddr) -> bool {
-        let asked = ask(&self.0.host, &self.0.me, to).await;
-        if let Err(why) = &asked {
-            warn!(peer = %to, %why, "an exchange with a peer failed");
+        match ask(self, to).await {
+            Ok((message, trip)) => {
+                if message.trip == SPREADS {
+                    self.spread(spread::Input::Speaks(to)).await;
+                }
+                self.exchanged(message, trip).await;
+                true
+            }
+            Err(why) => {
+                warn!(peer = %to, %why, "an exchange with a peer failed");
+                false
+            }
+        }
+    }
+
+    /// Takes what an exchange brought. What one that speaks the spread is asked for is in the sums.
+    async fn exchanged(&self, message: Message, trip: Duration) {
+        let Message { from, mut facts, .. } = message;
+        if message.trip == SPREADS || self.0.spread.borrow().cards().any(|card| card.who == from) {
+            facts.retain(|told| !told.what.is_amount());
+        }
+        let trip = trip.min(EXCHANGE);
+        self.0.host.feed(broker::Input::Told(from.clone(), trip, facts.clone()));
+        self.spread(spread::Input::Exchanged(from, trip, facts)).await;
+    }
+
+    /// Gives the spread an input and carries out what it asks for.
+    async fn spread(&self, input: spread::Input) {
+        let inner = &self.0;
+        let effects = inner.spread.borrow_mut().step(inner.start.elapsed(), input);
+        for effect in effects {
+            match effect {
+                spread::Effect::Send(to, bytes) => {
+                    // As with membership: what is lost is found by the next digest.
+                    let _ = inner.udp.send_to(&bytes, to).await;
+                }
+                spread::Effect::Learnt(told) => inner.host.feed(broker::Input::Learnt(told)),
+                spread::Effect::Totals(totals) => {
+                    let totals = self.totals(totals);
+                    inner.host.feed(broker::Input::Totals(totals));
+                }
+                spread::Effect::Wake(at) => {
+                    if inner.spread_wake.replace(Some(at)) != Some(at) {
+                        inner.spread_rearm.notify_one();
+                    }
+                }
+                spread::Effect::Bad(from, why) => warn!(%from, %why, "a peer's datagram is not taken"),
+                spread::Effect::Unsound(from, unsound) => {
+                    warn!(from, unsound, "a peer told what can't be taken");
+                }
+            }
+        }
+    }
+
+    /// What this process adds to the sums, from now on.
+    async fn add(&self) {
+        let now = Instant::now();
+        let Amounts { demand, spent } = self.0.host.look(|broker| broker.amounts(now));
+        let mut cold = BTreeMap::new();
+        let mut amounts: Vec<(Key, u64)> =
+            demand.into_iter().map(|(volume, rate)| (Key::Demand(volume), rate)).collect();
+        for (id, start, units) in spent {
+            let key = box_key(&id, start);
+            amounts.push((Key::Spent(key), units));
+            cold.insert(key, (id, start));
+        }
+        *self.0.cold.borrow_mut() = cold;
+        self.spread(spread::Input::Amounts(amounts)).await;
+    }
+
+    fn totals(&self, totals: Vec<(Key, Total)>) -> Totals {
+        let cold = self.0.cold.borrow();
+        let mut all = Totals::default();
+        for (key, Total { others, age, .. }) in totals {
+            match key {
+                Key::Demand(volume) => all.demand.push((volume, others, age)),
+                Key::Spent(key) => {
+                    all.spent.extend(cold.get(&key).map(|(id, start)| (id.clone(), *start, others, age)))
+                }
+            }
+        }
+        all
+    }
+
+    /// What this process sees goes out; what waits for its moment comes back then.
+    async fn keep_spreading(self, mut said: mpsc::Receiver<Vec<Told>>) {
+        self.spread(spread::Input::Woke).await;
+        let mut adds = tokio::time::interval(ADDED_EVERY);
+        loop {
+            let at = self.0.spread_wake.get().map(|at| self.0.start + at);
+            tokio::select! {
+                told = said.recv() => match told {
+                    Some(told) => self.spread(spread::Input::Say(told)).await,
+                    None => return,
+                },
+                () = self.0.spread_rearm.notified() => {}
+                _ = adds.tick() => self.add().await,
+                () = tokio::time::sleep_until(at.unwrap_or_else(Instant::now).into()), if at.is_some() => {
+                    self.0.spread_wake.set(None);
+                    self.spread(spread::Input::Woke).await;
+                }
+            }
         }
-        asked.is_ok()
     }
 
     async fn feed(&self, input: Input) {
@@ -133,8 +272,14 @@
                     inner.wake.set(Some(at));
                     inner.rearm.notify_one();
                 }
-                Effect::Up(peer) => info!(name = peer.name, at = %peer.at, "a peer is there"),
-                Effect::Down(peer) => info!(name = peer.name, at = %peer.at, "a peer is gone"),
+                Effect::Up(peer) => {
+                    info!(name = peer.name, at = %peer.at, "a peer is there");
+                    self.spread(spread::Input::Up(peer.at, peer.life)).await;
+                }
+                Effect::Down(peer) => {
+                    info!(name = peer.name, at = %peer.at, "a peer is gone");
+                    self.spread(spread::Input::Down(peer.at, peer.life)).await;
+                }
                 Effect::Twins(one, other) => {
                     let mut places = [one.at.to_string(), other.at.to_string()];
                     places.sort();
@@ -152,6 +297,9 @@
         let mut bytes = [0; DATAGRAM_MOST + 1];
         loop {
             match self.0.udp.recv_from(&mut bytes).await {
+                Ok((length, from)) if bytes[0] == datagram::MARK && length > 0 => {
+                    self.spread(spread::Input::Datagram(from, bytes[..length].to_vec())).await;
+                }
                 Ok((length, _)) => self.feed(Input::Datagram(Bytes::copy_from_slice(&bytes[..length]))).await,
                 // Where nobody hears a datagram the next call may say so: no news.
                 Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
@@ -175,19 +323,14 @@
         }
     }
 
-    /// One member after another, in an order that goes round all of them.
+    /// Members of the release before are told and heard over TCP; so is found out who is one.
     async fn keep_asking(self) {
-        let mut last: Option<Peer> = None;
         loop {
             tokio::time::sleep(ASKED_EVERY).await;
-            let mut peers: Vec<Peer> = self.0.membership.borrow().peers().cloned().collect();
-            peers.sort_by_key(|peer| peer.at);
-            let after = |peer: &&Peer| last.as_ref().is_none_or(|last| peer.at > last.at);
-            let next = peers.iter().find(after).or(peers.first()).cloned();
-            if let Some(peer) = &next {
-                self.ask(peer.at).await;
+            let unmet = self.0.spread.borrow().unmet().choose(&mut rand::rng());
+            if let Some(at) = unmet {
+                self.ask(at).await;
             }
-            last = next;
         }
     }
 }
--- a/src/runtime/host.rs
+++ b/src/runtime/host.rs
@@ -4,12 +4,13 @@
 use crate::interface::{RequestId, Settings};
 use crate::runtime::log;
 use futures_util::future::LocalBoxFuture;
+use shaletack_knowledge::Told;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::AbortHandle;
 
 /// Told how far an attempt is.
@@ -37,6 +38,7 @@
     succeeded: Cell<Option<Instant>>,
     part: Cell<f64>,
     passing: Cell<usize>,
+    peers: RefCell<Option<mpsc::Sender<Vec<Told>>>>,
 }
 
 /// The core and its loop, shared by the fronts.
@@ -57,6 +59,7 @@
             succeeded: Cell::new(None),
             part: Cell::new(1.0),
             passing: Cell::new(0),
+            peers: RefCell::default(),
         }));
         actix_rt::spawn(host.clone().keep_time());
         host
@@ -88,10 +91,21 @@
                     }
                 }
                 Effect::Log(notice) => log::write(&notice),
+                Effect::Say(told) => {
+                    if let Some(peers) = &*self.0.peers.borrow() {
+                        // All of it is said again with the next message of the list: what has no room is not lost.
+                        let _ = peers.try_send(told);
+                    }
+                }
             }
         }
     }
 
+    /// Where what this process sees goes, for its peers.
+    pub fn say_to(&self, peers: mpsc::Sender<Vec<Told>>) {
+        *self.0.peers.borrow_mut() = Some(peers);
+    }
+
     fn send(&self, request: RequestId, number: u8, to: SocketAddr, wait: Duration) {
         let Some(errand) = self.0.waiting.borrow().get(&request).map(|w| w.errand.clone()) else { return };
         let host = self.clone();
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -30,8 +30,13 @@
 
 /// One initiator in this process, whose list is old unless it says otherwise.
 async fn initiator(name: &str, join: &[SocketAddr], boxes: Vec<Member>) -> (Host, Peers, Duration) {
-    let set =
-        operator::Peers { name: name.into(), listen: "127.0.0.1:0".parse().unwrap(), join: join.to_vec() };
+    let set = operator::Peers {
+        name: name.into(),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        join: join.to_vec(),
+        region: String::new(),
+        zone: String::new(),
+    };
     let me = observer(&set);
     let settings =
         operator(&[("127.0.0.1:9".parse().unwrap(), 0), ("127.0.0.1:9".parse().unwrap(), 1)]).settings;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -243,7 +243,7 @@
                 }
                 Effect::Answer(request, answer) => self.answered(request, &answer),
                 Effect::Wake(at) => self.wake = Some(at.saturating_duration_since(self.start)),
-                Effect::Log(_) => {}
+                Effect::Log(_) | Effect::Say(_) => {}
             }
         }
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -85,7 +85,7 @@
                 }
                 Effect::Answer(..) => self.answered += 1,
                 Effect::Wake(at) => self.wake = Some(at - self.start),
-                Effect::Log(_) => {}
+                Effect::Log(_) | Effect::Say(_) => {}
             }
         }
     }
