--- a/crates/spread/src/sums.rs
+++ b/crates/spread/src/sums.rs
@@ -1,10 +1,10 @@
 //! Sums over all initiators, each counted once.
 //!
-//! In each cell (a small region, a zone, or a part of a large zone) each shard of keys has one owner, found by rendezvous
-//! hashing over the live members. Members tell owners their amounts, owners tell each other their cell's part, and
-//! answer each member with the totals of the keys that it told. An owner keeps one contribution for each member and
-//! one register for each other cell, so that a message which comes twice, or an owner that changes, counts nobody
-//! twice. `docs/design/SPREAD-SUMS.md` has the rules and the bounds.
+//! In each cell (a small region, a zone, or a part of a large zone) each shard of keys has one owner, found
+//! by rendezvous hashing over the live members. Members tell owners their amounts, owners tell each other
+//! their cell's part, and answer each member with the totals of the keys that it told. An owner keeps one
+//! contribution for each member and one register for each other cell, so that a message which comes twice, or
+//! an owner that changes, counts nobody twice. `docs/design/SPREAD-SUMS.md` has the rules and the bounds.
 
 use crate::pace::Pace;
 use crate::Place;
@@ -38,7 +38,8 @@
 pub const TELLS: f64 = 8_000.0;
 /// The ceiling of bytes a second for answers, headers included; as many at once. These are dropped first.
 pub const ANSWERS: f64 = 12_000.0;
-/// What a datagram costs beside its message: IPv4's and UDP's headers (28 bytes), mark, sum and sender (28 bytes).
+/// What a datagram costs beside its message: IPv4's and UDP's headers (28 bytes), mark, sum and sender (28
+/// bytes).
 pub const AROUND: usize = 56;
 /// How long a contribution counts after it came, and a total after its oldest part came.
 pub const LASTS: Duration = Duration::from_secs(4);
@@ -51,7 +52,8 @@
 const BUSY: Duration = Duration::from_millis(900);
 /// Between two tellings to an owner while nothing changes much.
 const QUIET: Duration = Duration::from_millis(1750);
-/// Between two tellings while no answer came, and how many of them follow each other so closely. A cell is near.
+/// Between two tellings while no answer came, and how many of them follow each other so closely. A cell is
+/// near.
 const RETRY: Duration = Duration::from_millis(300);
 /// See [`RETRY`].
 const RETRIES: u8 = 2;
@@ -93,7 +95,8 @@
     pub count: u32,
     /// How long ago the oldest cell's part came to the owner.
     pub age: Duration,
-    /// How many cells that have members are not in it: cut off, silent, or nothing was asked there. 0: all are in.
+    /// How many cells that have members are not in it: cut off, silent, or nothing was asked there. 0: all
+    /// are in.
     pub missing: u32,
 }
 
@@ -115,8 +118,8 @@
     pub page: u8,
     /// How many pages there are now.
     pub pages: u8,
-    /// How the sender sees its zone parted into cells: 0 not at all, 1 in two, 2 in four, and so on up to 7; 8 means
-    /// that its whole region is one cell.
+    /// How the sender sees its zone parted into cells: 0 not at all, 1 in two, 2 in four, and so on up to 7;
+    /// 8 means that its whole region is one cell.
     pub split: u8,
     /// Greater in each later message of one life.
     pub seq: u32,
@@ -184,7 +187,8 @@
     }
 }
 
-/// A key's short hash. Two of 1,000 keys fall together once in two million fleets; they would be summed as one.
+/// A key's short hash. Two of 1,000 keys fall together once in two million fleets; they would be summed as
+/// one.
 pub fn short(key: Key) -> Short {
     let (kind, number) = match key {
         Key::Demand(number) => (1, number),
@@ -227,8 +231,8 @@
     xxh3_64(&bytes) as u32
 }
 
-/// The owner of each shard among these members: the greatest weight, but nobody owns a second shard before all
-/// others own one.
+/// The owner of each shard among these members: the greatest weight, but nobody owns a second shard before
+/// all others own one.
 fn owners_of(members: &[(SocketAddr, u64)]) -> Vec<SocketAddr> {
     let most = SHARDS.div_ceil(members.len().max(1));
     let mut owned = vec![0; members.len()];
@@ -298,7 +302,8 @@
     Lost,
 }
 
-/// Takes a page into the rows of its sender. A later life replaces an earlier one, a late or doubled page is nothing.
+/// Takes a page into the rows of its sender. A later life replaces an earlier one, a late or doubled page is
+/// nothing.
 fn take(rows: &mut Option<Rows>, now: Duration, from: (SocketAddr, u64), page: Page, room: usize) -> Taken {
     let number = page.page;
     let same = rows.as_ref().is_some_and(|rows| (rows.from, rows.life) == from);
@@ -434,8 +439,8 @@
         sums
     }
 
-    /// The live members that speak this version, with their lives, without the own one. Contributions of whom it does
-    /// not name any more go at once.
+    /// The live members that speak this version, with their lives, without the own one. Contributions of whom
+    /// it does not name any more go at once.
     pub fn view(&mut self, now: Duration, members: &[(SocketAddr, u64, Place)]) {
         let others = members.iter().filter(|(at, ..)| *at != self.at).take(MEMBERS_MOST);
         let all: BTreeMap<SocketAddr, (u64, Place)> = others
@@ -473,9 +478,6 @@
             shard
                 .contributions
                 .retain(|at, rows| members.get(at).is_some_and(|member| member.is(rows.life, &own)));
-            if parted(&self.place) {
-                shard.contributions.clear();
-            }
             let other = |cell: &Cell| *cell != own && self.owners.contains_key(cell) && !parted(&cell.0);
             shard.registers.retain(|cell, _| other(cell));
             shard.streams.retain(|(cell, _), _| self.owners.contains_key(cell));
@@ -486,8 +488,8 @@
         }
     }
 
-    /// What this process is asked for and has spent now, in thousandths. Replaces what it said before; an amount of 0
-    /// asks for a key's total and adds nobody to it.
+    /// What this process is asked for and has spent now, in thousandths. Replaces what it said before; an
+    /// amount of 0 asks for a key's total and adds nobody to it.
     pub fn own(&mut self, now: Duration, mut amounts: Vec<(Key, u64)>) {
         if amounts.len() > OWN_KEYS {
             amounts.sort_unstable_by_key(|(key, amount)| (std::cmp::Reverse(*amount), *key));
@@ -721,7 +723,7 @@
         out: &mut Vec<(SocketAddr, Message)>,
     ) {
         let (number, index, seq) = (usize::from(page.shard), page.page, page.seq);
-        if number >= SHARDS || usize::from(index) >= PAGES || page.split != self.split(&self.place) {
+        if number >= SHARDS || usize::from(index) >= PAGES {
             return;
         }
         let room = self.expire(now, number);
