--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -1,6 +1,6 @@
 //! Attempts at disk boxes, over HTTP with awc.
 
-use super::stream::{BoxStream, Counted, Idling, Manner, NEWS};
+use super::stream::{BoxStream, Counted, Idling, Manner, NEWS, UNTIL};
 use crate::broker::{News, Reply};
 use crate::ending::End;
 use crate::interface::Settings;
@@ -283,6 +283,8 @@
             tell(news);
         }));
         let news = tell.clone();
+        // While a large body moves its client's time stands still.
+        let until = (!matches!(body, Carried::Moving(_))).then(|| began + wait);
         let attempt = async move {
             // Never closed; each is given back when its attempt ends, by whatever.
             let permit = boxes.permits.clone().acquire_owned().await.ok();
@@ -322,7 +324,7 @@
         // A place and a connection together take no longer than the settings give a connection: repeats by key are
         // sent while the first is remembered.
         async move {
-            let mut attempt = std::pin::pin!(NEWS.scope(news, attempt));
+            let mut attempt = std::pin::pin!(UNTIL.scope(until, NEWS.scope(news, attempt)));
             match tokio::time::timeout(connect, &mut attempt).await {
                 Ok(reply) => reply,
                 Err(_) if wrote.get() => attempt.await,
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -8,6 +8,7 @@
 use actix_rt::net::{ActixStream, Ready};
 use bytes::{Buf, BytesMut};
 use httparse::{Response, Status, EMPTY_HEADER};
+use memchr::memmem;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -49,6 +50,45 @@
     /// Told how far the attempt that is being polled is: that its first byte goes out, and that the first bytes
     /// of its final answer are there.
     pub static NEWS: Rc<Tell>;
+    /// When the attempt that is being polled is waited for no more, where that is known as it is written.
+    pub static UNTIL: Option<Instant>;
+}
+
+/// The header that tells a box how long its answer is waited for, as it stands in a request's head.
+const EXPIRES: &[u8] = b"\r\nx-expires-in: ";
+/// What it says may be so old.
+const STAMP_AGE: Duration = Duration::from_millis(5);
+
+/// What that header is to say instead: a connection may have come up long after the head was made.
+#[derive(Debug)]
+struct Stamp {
+    /// Where in the request its value begins, and how far the request is written.
+    at: usize,
+    written: usize,
+    value: Vec<u8>,
+}
+
+impl Stamp {
+    /// `None`: the request says what is so, or nothing of it.
+    fn of(head: &[u8]) -> Option<Self> {
+        let until = UNTIL.try_with(|until| *until).ok()??;
+        let end = memmem::find(head, b"\r\n\r\n")?;
+        let at = memmem::find(&head[..end], EXPIRES)? + EXPIRES.len();
+        let length = head[at..].iter().position(|b| *b == b'\r')?;
+        let said: f64 = std::str::from_utf8(&head[at..at + length]).ok()?.parse().ok()?;
+        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
+        let value = format!("{left:0length$.3}").into_bytes();
+        let stamp = Stamp { at, written: 0, value };
+        (said > left + STAMP_AGE.as_secs_f64() && stamp.value.len() == length).then_some(stamp)
+    }
+
+    /// What is to be written next, in place of these bytes or of some of them; `None`: nothing of its own any more.
+    fn next<'a>(&'a self, bytes: &'a [u8]) -> Option<&'a [u8]> {
+        match self.written.checked_sub(self.at) {
+            None => Some(&bytes[..bytes.len().min(self.at - self.written)]),
+            Some(done) => self.value.get(done..).filter(|rest| !rest.is_empty()),
+        }
+    }
 }
 
 /// How far a chunked body has come. awc reads its bytes; here is only kept where it ends.
@@ -214,6 +254,8 @@
     begun: bool,
     /// So many bytes of a chunked answer's head are still to be passed on.
     head: usize,
+    /// What the present request's head is to say instead.
+    stamp: Option<Stamp>,
 }
 
 impl BoxStream {
@@ -230,6 +272,7 @@
             bare: false,
             begun: false,
             head: 0,
+            stamp: None,
         }
     }
 
@@ -433,8 +476,16 @@
             self.bare = bytes.starts_with(b"HEAD ");
             self.idle = self.since.map(|since| since.elapsed());
             let _ = NEWS.try_with(|tell| tell(News::Writes));
+            self.stamp = Stamp::of(bytes);
+        }
+        let this = &mut *self;
+        let own = this.stamp.as_ref().and_then(|stamp| stamp.next(bytes));
+        let wrote = ready!(Pin::new(&mut this.socket).poll_write(cx, own.unwrap_or(bytes)))?;
+        match own.is_some() {
+            true => this.stamp.iter_mut().for_each(|stamp| stamp.written += wrote),
+            false => this.stamp = None,
         }
-        Pin::new(&mut self.socket).poll_write(cx, bytes)
+        Poll::Ready(Ok(wrote))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -471,3 +471,33 @@
         }
     }
 }
+
+/// How long it takes until that holds.
+pub async fn until(holds: impl Fn() -> bool) -> Duration {
+    let start = Instant::now();
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    start.elapsed()
+}
+
+/// How a watch of the list is answered.
+pub const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A piece of a chunked body.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// The list at a revision: one box, in that phase.
+pub fn listed(revision: u64, phase: &str) -> String {
+    chunk(&format!(
+        r#"{{"revision":{revision},"complete":true,"members":[{{"id":"s-1","host_port":"127.0.0.1:9","cell":0,"phase":"{phase}"}}]}}"#
+    ))
+}
+
+/// Says this and stays until the other side ends it.
+pub async fn say(stream: &mut BufReader<TcpStream>, text: &str) {
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let _ = stream.read(&mut [0]).await;
+}
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -14,18 +14,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, Interest};
-use tokio::net::{TcpStream, UnixListener, UnixStream};
+use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::Notify;
 
-/// How long it takes until that holds.
-async fn until(holds: impl Fn() -> bool) -> Duration {
-    let start = Instant::now();
-    while !holds() {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
-    start.elapsed()
-}
-
 /// A client that goes is noticed behind all that it sent ahead: the close was not read past 16 KiB.
 #[test]
 fn a_client_that_goes_is_noticed_behind_whatever_it_sent() {
@@ -95,25 +86,6 @@
     });
 }
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-/// The list at a revision: one box, in that phase.
-fn listed(revision: u64, phase: &str) -> String {
-    chunk(&format!(
-        r#"{{"revision":{revision},"complete":true,"members":[{{"id":"s-1","host_port":"127.0.0.1:9","cell":0,"phase":"{phase}"}}]}}"#
-    ))
-}
-
-/// Says this and stays until the other side ends it.
-async fn say(stream: &mut BufReader<TcpStream>, text: &str) {
-    stream.write_all(text.as_bytes()).await.unwrap();
-    let _ = stream.read(&mut [0]).await;
-}
-
 /// A watch falls silent, and so do all ways in which the next calls can: what the agent holds is there before 6 s are
 /// over. A head with nothing behind it took the time of a whole silence once more.
 #[test]
