Killed processes are followed at their address at once, played with real processes

Eight clients are connected when the first process is killed, three are killed right where they say that they start (a silent agent holds them up), three when they listen: the next one at that address serves within 3 s each time. Red where the address is bound without SO_REUSEADDR.

--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -265,6 +265,43 @@
     }
 }
 
+/// Processes are killed (SIGKILL) right at their start, just when they listen, and under clients that are connected:
+/// the next one at that address is there at once, with nothing of the dead one's in its way.
+#[test]
+fn a_killed_process_is_followed_at_its_address_at_once() {
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("killed-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let command = |listen: &str| {
+        let path = file("killed.json", &config(listen, "1"));
+        let mut command = shaletack(&["--config", &path]);
+        command.env("TMPDIR", &folder);
+        command
+    };
+    let health = |client: &mut TcpStream| exchange(client, "GET /_health").0;
+    let (first, _lines, place) = Running::start(&mut command("127.0.0.1:0"));
+    let mut clients: Vec<_> = (0..8).map(|_| TcpStream::connect(&place).unwrap()).collect();
+    assert!(clients.iter_mut().all(|client| health(client) == 200));
+    drop(first);
+    clients.iter_mut().for_each(|client| assert_eq!(client.read(&mut [0]).unwrap_or(0), 0));
+    // An agent that says nothing holds the start up for a moment.
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    for _ in 0..3 {
+        let mut command = command(&place);
+        command.env("ROUTER_DISCOVERY", agent.local_addr().unwrap().to_string());
+        let mut child = Running(command.spawn().unwrap());
+        let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
+        lines.find(|l| l.contains(" starts ")).expect("it says so");
+    }
+    for _ in 0..3 {
+        let start = std::time::Instant::now();
+        let (_killed, _lines, at) = Running::start(&mut command(&place));
+        assert_eq!(at, place);
+        assert_eq!(health(&mut TcpStream::connect(&place).unwrap()), 200);
+        assert!(start.elapsed() < std::time::Duration::from_secs(3), "{:?}", start.elapsed());
+    }
+}
+
 /// Idle clients took every descriptor, more than the places are: who waited in the backlog waited until they left, and at
 /// a stop was reset.
 #[test]
