Sums: answers keep to their ceiling whoever asks, and the age of a total is held

Need: two mutants of the sums were not found (age not counted, answers without a ceiling). Change: a test for each.

--- a/crates/spread/tests/sums.rs
+++ b/crates/spread/tests/sums.rs
@@ -685,6 +685,9 @@
             sums.tick(now + 2 * S);
             if sums.total(now + 2 * S, key).is_some_and(|total| total.others == 100) {
                 counted.push((index, life));
+                // The part came two seconds ago, whenever it was asked for.
+                let age = sums.total(now + 2 * S, key).map(|total| total.age);
+                assert!(age.is_some_and(|age| age >= 2 * S && age <= 2 * S + 20 * MS), "{age:?}");
             }
         }
     }
@@ -856,6 +859,29 @@
     net.assert_exact();
 }
 
+#[test]
+fn answers_stay_within_their_ceiling_whoever_asks() {
+    let members: Vec<_> = (1..40).map(|index| (at(index), 1, place(0))).collect();
+    let mut sums = Sums::new(at(0), 1, place(0), 1);
+    sums.view(S, &members);
+    let (mut bytes, mut seq) = (0, 0);
+    for round in 0..40 {
+        for index in 1..40 {
+            for shard in 0..SHARDS as u8 {
+                seq += 1;
+                let layout = Layout::Full(vec![([1, 2, 3, 4, shard], 1)]);
+                let (split, amounts) = (WHOLE_REGION, vec![1]);
+                let page = Page { shard, page: 0, pages: 1, split, seq, layout, amounts };
+                for (_, answer) in sums.hear(S + 250 * MS * round, at(index), 1, Message::Tell(page)) {
+                    bytes += encoded_len(&answer) + AROUND;
+                }
+            }
+        }
+    }
+    let (bytes, most) = (bytes as f64, 11.0 * ANSWERS);
+    assert!(bytes <= most && bytes >= most / 2.0, "{bytes}");
+}
+
 /// What a second costs each, sent and received, headers included: mean, worst, and the worst's datagrams.
 fn cost(initiators: usize, zones: usize, each: usize, noise: f64) -> (f64, f64, f64, f64) {
     let mut net = Net::new(initiators, zones, 47);
