A fleet half of the release before still spreads, and its frames are held byte by byte

Need: an initiator of the release before has to be met: neither misreads the other, and a fleet half of each spreads. Change: a story of 15 newer and 15 older ones in virtual time (news of either half with all within 30 s, no fact of over three hops told to an older one, none taken for one that spreads), and the bytes of a frame pinned. Measured: both pass; seen red with own facts of the older ones left out (nothing to spread), and while the pinned length was wrong.

--- a/crates/peers/tests/frame.rs
+++ b/crates/peers/tests/frame.rs
@@ -34,6 +34,26 @@
     assert!(kept.len() > 1000 && kept[..] == facts(50_000)[..kept.len()]);
 }
 
+/// The release before reads these very bytes: what goes over TCP is of its form, and an answer's mark is a round trip to
+/// it, of no time.
+#[test]
+fn a_frame_is_of_the_form_of_the_release_before() {
+    let fact = Told {
+        what: What::Failing("s-1".into(), true),
+        by: me(),
+        start: 300,
+        hops: 1,
+        age: Duration::from_millis(1500),
+    };
+    let bytes = encode(&me(), SPREADS, vec![fact]);
+    let head = [b'S', b'T', b'P', b'X', 0, 1, 0, 0, 0, 24];
+    assert_eq!(bytes[..10], head);
+    // Name and life; seconds and nanoseconds; one fact: its kind, box and word, its observer, start, hops and age.
+    let message =
+        [1, b'a', 9, 0, 1, 1, 1, 3, b's', b'-', b'1', 1, 1, b'a', 9, 172, 2, 1, 1, 128, 202, 181, 238, 1];
+    assert_eq!(bytes[HEAD..], message);
+}
+
 #[test]
 fn what_is_no_whole_frame_of_this_version_is_refused_with_its_reason() {
     let good = frame(3);
--- a/crates/spread/tests/spread.rs
+++ b/crates/spread/tests/spread.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use shaletack_knowledge::fact::Topic;
-use shaletack_knowledge::{Fact, Observer, Standing, Told, What, HOPS_MOST, KEPT};
+use shaletack_knowledge::{Fact, Knowledge, Observer, Standing, Told, What, HOPS_MOST, KEPT};
 use shaletack_spread::datagram::{decode, encode, Body, Card, Item, Message, Still, DATAGRAM_MOST, HEADERS};
 use shaletack_spread::spread::*;
 use shaletack_spread::sums::{Key, Total};
@@ -512,6 +512,86 @@
     assert!(known > 100, "{known}");
 }
 
+/// Half of a fleet is of the release before, which asks one member a second over TCP in the order of addresses and takes
+/// facts of three hops at most: news of either half comes to all, later than by datagrams, and nobody misreads anybody.
+#[test]
+fn a_fleet_half_of_the_release_before_still_spreads() {
+    const NEW: usize = 15;
+    const HOPS_BEFORE: u8 = 3;
+    let mut net = Net::settled(NEW, 1, 20);
+    let older = |i: usize| SocketAddr::from(([127, 0, 0, 1], 5000 + i as u16));
+    let name = |i: usize| Observer { name: format!("older{i}"), life: 5 };
+    for i in 0..NEW {
+        (0..NEW).for_each(|of| net.step(i, Input::Up(older(of), 5)));
+    }
+    // What each of the older ones and each core of the newer ones knows; those tell in exchanges.
+    let mut old = vec![Knowledge::default(); NEW];
+    let mut cores = vec![Knowledge::default(); NEW];
+    let (mut own, mut older_own): (Vec<Vec<Fact>>, _) = (vec![Vec::new(); NEW], vec![Vec::new(); NEW]);
+    let takes = |known: &mut Knowledge, now: Duration, me: &Observer, from: &Observer, told: Vec<Told>| {
+        assert!(told.iter().all(|t| t.hops <= HOPS_BEFORE), "the release before takes no more hops");
+        let (_, refused) = known.hear(now, 4 * MS, me, from, told);
+        assert_eq!(refused.unsound, 0);
+    };
+    let (news, back) = (drains("s-new"), drains("s-old"));
+    let said = net.now;
+    let mut all_at = None;
+    for second in 0..60 {
+        if second == 0 {
+            net.say(3, news.clone());
+            let seen = net.nodes[3].clock(net.now);
+            own[3].push(Fact { what: news.clone(), by: net.nodes[3].who.clone(), start: 0, hops: 0, seen });
+            older_own[4].push(Fact { what: back.clone(), by: name(4), start: 0, hops: 0, seen: said });
+        }
+        net.pass(S);
+        let now = net.now;
+        for i in 0..NEW {
+            let clock = net.nodes[i].clock(now);
+            for (_, told) in std::mem::take(&mut net.nodes[i].learnt) {
+                cores[i].learn(told.heard(clock, Duration::ZERO));
+            }
+        }
+        let exchange =
+            |net: &mut Net, old: &mut Vec<Knowledge>, cores: &mut Vec<Knowledge>, n: usize, o: usize| {
+                let (me, clock) = (net.nodes[n].who.clone(), net.nodes[n].clock(now));
+                let (to_old, to_new) = (
+                    cores[n].tell(clock, &me, own[n].clone()),
+                    old[o].tell(now, &name(o), older_own[o].clone()),
+                );
+                takes(&mut old[o], now, &name(o), &me, to_old);
+                takes(&mut cores[n], clock, &me, &name(o), to_new.clone());
+                net.step(n, Input::Exchanged(name(o), 4 * MS, to_new));
+            };
+        for o in 0..NEW {
+            // In the order of addresses: newer ones first, then the older ones.
+            match (o + second) % (2 * NEW) {
+                n if n < NEW => exchange(&mut net, &mut old, &mut cores, n, o),
+                other if other - NEW != o => {
+                    let (told, by) = (
+                        old[other - NEW].tell(now, &name(other - NEW), older_own[other - NEW].clone()),
+                        name(other - NEW),
+                    );
+                    takes(&mut old[o], now, &name(o), &by, told);
+                }
+                _ => {}
+            }
+            let n = o;
+            let unmet: Vec<SocketAddr> = net.nodes[n].spread.unmet().collect();
+            assert_eq!(unmet.len(), NEW, "none of them is taken for one that spreads");
+            let drawn = net.rng.random_range(0..NEW);
+            exchange(&mut net, &mut old, &mut cores, n, drawn);
+        }
+        let of_old = |known: &Knowledge| known.get(&Topic::Standing("s-new".into())).is_some();
+        let of_new = |i: usize| net.knows(i, &back);
+        if old.iter().all(of_old) && (0..NEW).all(of_new) {
+            all_at = Some(net.now - said);
+            break;
+        }
+    }
+    let took = all_at.expect("news of either half is with all");
+    assert!(took < 30 * S, "{took:?}");
+}
+
 /// Sums go beside the news: each knows what all others are asked for, and a flood of news does not keep them back.
 #[test]
 fn each_knows_what_all_others_are_asked_for() {
