--- a/crates/spread/tests/spread.rs
+++ b/crates/spread/tests/spread.rs
@@ -545,10 +545,10 @@
         }
         net.pass(S);
         let now = net.now;
-        for i in 0..NEW {
-            let clock = net.nodes[i].clock(now);
-            for (_, told) in std::mem::take(&mut net.nodes[i].learnt) {
-                cores[i].learn(told.heard(clock, Duration::ZERO));
+        for (node, core) in net.nodes.iter_mut().zip(&mut cores) {
+            let clock = node.clock(now);
+            for (_, told) in std::mem::take(&mut node.learnt) {
+                core.learn(told.heard(clock, Duration::ZERO));
             }
         }
         let exchange =
