--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -395,10 +395,12 @@
                 review = true;
             }
             Input::Totals(totals) => {
-                if let Some(peers) = &mut self.peers {
+                if let Some(mut peers) = self.peers.take() {
                     peers.sum(at, totals);
+                    let window = self.settings.rules.tip_after;
+                    events.push(Event::Hearsay(peers.hearsay(at, window, &self.boxes())));
+                    self.peers = Some(peers);
                 }
-                review = true;
             }
             Input::Settings(set) => events.push(self.retune(at, *set)),
             Input::Part(part) => events.push(Event::Part(part)),
--- a/crates/spread/src/datagram.rs
+++ b/crates/spread/src/datagram.rs
@@ -59,7 +59,8 @@
 pub enum Body {
     /// News, pushed.
     News(Vec<Item>),
-    /// Sums of the ranges of all that is held; the token comes back with the answer.
+    /// One sum of all that is held, or, in answer to another one, one for each range; the token comes back with the
+    /// answer.
     Digest(u32, Vec<u32>),
     /// The ranges that differ, a bit each, and what is held in them. No bit: all is the same.
     Differs(u32, u16, Vec<u32>),
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -5,14 +5,14 @@
 
 use crate::datagram::{decode, encode, size, Bad, Body, Card, Item, Message, Still, DATAGRAM_MOST, HEADERS};
 use crate::pace::Pace;
-use crate::sums::{Key, Sums, Total};
+use crate::sums::{self, Key, Sums, Total};
 use crate::Place;
 use rand::rngs::StdRng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
 use shaletack_knowledge::fact::Topic;
 use shaletack_knowledge::{Fact, Knowledge, Observer, Told, What, HELD, HOPS_MOST, KEPT, NAME_MOST};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -41,6 +41,8 @@
 const HEARD: u8 = 6;
 /// Between digests, spread by a fifth either way.
 const DIGEST: Duration = Duration::from_secs(1);
+/// Digests that wait for their answers.
+const ASKED: usize = 8;
 /// Ranges of a digest.
 const RANGES: usize = 16;
 /// The payload that a datagram is filled up to.
@@ -63,6 +65,8 @@
 const TRIPS: Duration = Duration::from_secs(60);
 /// Many members that come or go together change the partners once.
 const VIEWED: Duration = Duration::from_millis(20);
+/// So often the core is told the sums anew.
+const TOTALS: Duration = Duration::from_millis(500);
 /// Between two reports of a version that is not in force everywhere.
 const REPORTED: Duration = Duration::from_secs(10);
 /// A card whose initiator membership does not have yet is kept so long.
@@ -174,12 +178,13 @@
     view_at: Duration,
     /// The longest round trip to a place, and when it was measured.
     trips: BTreeMap<Place, (Duration, Duration)>,
-    asked: Option<Asked>,
+    asked: VecDeque<Asked>,
     digest_at: Duration,
     push_at: Option<Duration>,
     sent: Pace,
     taken: Pace,
     sums: Sums,
+    totals_at: Duration,
     /// The version of the configuration in force, and since when.
     configured: Option<(u64, Duration)>,
     /// What was last reported of it, and when.
@@ -203,12 +208,13 @@
             changed: false,
             view_at: now,
             trips: BTreeMap::new(),
-            asked: None,
+            asked: VecDeque::new(),
             digest_at: now,
             push_at: None,
             sent: Pace::new(BYTES, BYTES_BURST, now),
             taken: Pace::new(TAKEN, 2.0 * TAKEN, now),
             sums,
+            totals_at: now,
             configured: None,
             reported: None,
         }
@@ -477,12 +483,24 @@
         }
         let Some(to) = self.draw([0.5, 0.83], &[]) else { return };
         let token = self.rng.random();
-        let sums = Self::sums_of(&self.records(now));
-        if self.send(now, to, Body::Digest(token, sums), out) {
-            self.asked = Some(Asked { token, at: to, sent: now });
+        let whole = Self::whole_of(&Self::sums_of(&self.records(now)));
+        if self.send(now, to, Body::Digest(token, vec![whole]), out) {
+            self.ask(Asked { token, at: to, sent: now });
         }
     }
 
+    fn ask(&mut self, asked: Asked) {
+        self.asked.push_back(asked);
+        if self.asked.len() > ASKED {
+            self.asked.pop_front();
+        }
+    }
+
+    /// One sum for all ranges: where all is the same, which is nearly always, no more is told.
+    fn whole_of(sums: &[u32]) -> u32 {
+        sums.iter().fold(0, |all: u32, sum| all.rotate_left(1) ^ sum)
+    }
+
     fn send(&mut self, now: Duration, to: SocketAddr, body: Body, out: &mut Vec<Effect>) -> bool {
         let bytes = encode(&Message { from: self.me.who.clone(), body });
         let sent = self.sent.take(now, bytes.len() + HEADERS);
@@ -498,9 +516,12 @@
             return;
         }
         for (to, message) in self.sums.tick(now) {
-            let body = Body::Sums(message);
-            out.push(Effect::Send(to, encode(&Message { from: self.me.who.clone(), body })));
+            out.push(self.summed(to, message));
+        }
+        if now < self.totals_at {
+            return;
         }
+        self.totals_at = now + TOTALS;
         let totals = self.sums.totals(now).filter(|(key, _)| !matches!(key, Key::InForce(_)));
         let totals: Vec<(Key, Total)> = totals.collect();
         if !totals.is_empty() {
@@ -521,6 +542,12 @@
         }
     }
 
+    /// A datagram of sums: there are many, and address and life are enough to know who sends them.
+    fn summed(&self, to: SocketAddr, message: sums::Message) -> Effect {
+        let from = Observer { name: String::new(), life: self.me.who.life };
+        Effect::Send(to, encode(&Message { from, body: Body::Sums(message) }))
+    }
+
     /// How far the version in force here is known to be in force elsewhere; `None`: none is named, or no sum is
     /// there yet.
     pub fn in_force(&self, now: Duration) -> Option<InForce> {
@@ -564,8 +591,20 @@
             }
             Body::Digest(token, sums) => {
                 let records = self.records(now);
+                let own = Self::sums_of(&records);
+                if let [theirs] = sums[..] {
+                    if theirs == Self::whole_of(&own) {
+                        self.send(now, from, Body::Differs(token, 0, Vec::new()), out);
+                    } else {
+                        let token = self.rng.random();
+                        if self.send(now, from, Body::Digest(token, own), out) {
+                            self.ask(Asked { token, at: from, sent: now });
+                        }
+                    }
+                    return;
+                }
                 let (mut bits, mut ids) = (0u16, Vec::new());
-                for (number, (own, theirs)) in Self::sums_of(&records).iter().zip(&sums).enumerate() {
+                for (number, (own, theirs)) in own.iter().zip(&sums).enumerate() {
                     let here =
                         records.iter().map(|(id, _)| *id).filter(|id| own != theirs && range(*id) == number);
                     let mut here: Vec<u32> = here.collect();
@@ -582,8 +621,8 @@
                 self.send(now, from, Body::Differs(token, bits, ids), out);
             }
             Body::Differs(token, bits, ids) => {
-                let Some(asked) = self.asked.filter(|a| a.token == token && a.at == from) else { return };
-                self.asked = None;
+                let found = self.asked.iter().position(|asked| asked.token == token && asked.at == from);
+                let Some(asked) = found.and_then(|found| self.asked.remove(found)) else { return };
                 self.measured(now, from, now.saturating_sub(asked.sent));
                 let records = self.records(now);
                 let (here, theirs): (BTreeSet<u32>, BTreeSet<u32>) =
@@ -603,8 +642,7 @@
             }
             Body::Sums(message) => {
                 for (to, answer) in self.sums.hear(now, from, who.life, message) {
-                    let body = Body::Sums(answer);
-                    out.push(Effect::Send(to, encode(&Message { from: self.me.who.clone(), body })));
+                    out.push(self.summed(to, answer));
                 }
             }
         }
--- a/crates/spread/src/sums.rs
+++ b/crates/spread/src/sums.rs
@@ -51,7 +51,7 @@
 /// Between two tellings to an owner while amounts change or no answer came.
 const BUSY: Duration = Duration::from_millis(900);
 /// Between two tellings to an owner while nothing changes much.
-const QUIET: Duration = Duration::from_millis(1750);
+const QUIET: Duration = Duration::from_millis(1450);
 /// Between two tellings while no answer came, and how many of them follow each other so closely. A cell is
 /// near.
 const RETRY: Duration = Duration::from_millis(300);
