Lab: scale, many hollow initiators in virtual time, with the exchange before and the new spread

Change: shaletack-lab scale plays membership, broker and spread of many initiators on one virtual clock, with ways, loss, lossy clocks, cuts, stops, restarts, noise.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -19,7 +19,7 @@
 /// The way between two machines.
 const WAY: Duration = Duration::from_micros(500);
 /// What the boxes' clocks say at the start.
-const UNIX: Duration = Duration::from_secs(1_700_000_000);
+pub const UNIX: Duration = Duration::from_secs(1_700_000_000);
 
 /// The fleet's shape.
 #[derive(Clone, Copy, Debug)]
@@ -105,7 +105,7 @@
     gone: BTreeSet<usize>,
 }
 
-fn settings(shape: &Shape) -> Settings {
+pub fn settings(shape: &Shape) -> Settings {
     let class = |name: &str, effect| Class {
         name: name.into(),
         aim: 150 * MS,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,12 +5,19 @@
 mod fleet;
 mod model;
 mod restart;
+mod scale;
 
+use cap::Cap;
 use lexopt::prelude::*;
+use std::alloc::System;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-const USAGE: &str = "usage: shaletack-lab restart [--seeds N] [--out DIR]
+/// Counts what is in use.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
+const USAGE: &str = "usage: shaletack-lab restart [--seeds N] [--out DIR], or shaletack-lab scale --help
   restart   an initiator is killed and returns with a stale list, amid drains, failing and cold boxes
   --seeds   so many seeds, from 1 (20)
   --out     where table and chart go (.)";
@@ -27,6 +34,7 @@
                 println!("{USAGE}");
                 return Ok(());
             }
+            Value(word) if name.is_none() && word == "scale" => return scale::run(args),
             Value(word) if name.is_none() => name = Some(word.string().map_err(told)?),
             other => return Err(told(other.unexpected())),
         }
