No member is asked by all at once, and an idle initiator costs less

Cause: members that come back were not known to speak the spread, so that all asked the first one back over TCP in the same second; the down are announced to once in ten seconds, two at a time. Change: who spoke before needs no asking, others are asked 3 s after they came; three of the down are announced to each 5 s; probes each 1.3 s with four indirect ones; lists of members each 60 s; digests each 1.1 s and without a name.

--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -209,7 +209,7 @@
 }
 
 /// A member that says nothing is suspected within 2.5 s and taken for dead 3.5 s after; a partition that heals is
-/// noticed within 10 s. Where a twentieth of all datagrams is lost one probe in ten comes back with nothing: five others
+/// noticed within 10 s. Where a twentieth of all datagrams is lost one probe in ten comes back with nothing: four others
 /// are asked then, so that hardly anybody is suspected for it, and news of a suspicion and of its refutation goes out
 /// four times a second, each piece twenty times by each, so that the refutation is with all in time.
 fn config() -> foca::Config {
@@ -219,15 +219,15 @@
         Some(foca::PeriodicParams { frequency: Duration::from_millis(ms), num_members })
     };
     foca::Config {
-        probe_period: Duration::from_millis(1250),
+        probe_period: Duration::from_millis(1300),
         probe_rtt: Duration::from_millis(300),
-        num_indirect_probes: NonZeroUsize::new(5).unwrap_or(one),
+        num_indirect_probes: NonZeroUsize::new(4).unwrap_or(one),
         suspect_to_down_after: Duration::from_millis(3500),
         max_transmissions: NonZeroU8::new(20).unwrap_or(NonZeroU8::MIN),
         max_packet_size: NonZeroUsize::new(DATAGRAM_MOST - 2).unwrap_or(one),
         notify_down_members: true,
-        periodic_announce: every(30_000, 1),
-        periodic_announce_to_down_members: every(10_000, 2),
+        periodic_announce: every(60_000, 1),
+        periodic_announce_to_down_members: every(5_000, 3),
         periodic_gossip: every(250, 3),
         ..foca::Config::simple()
     }
--- a/crates/spread/src/datagram.rs
+++ b/crates/spread/src/datagram.rs
@@ -75,7 +75,7 @@
 /// A whole message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
-    /// Who tells it.
+    /// Who tells it; without a name where nothing is told that others saw.
     pub from: Observer,
     /// What it tells.
     pub body: Body,
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -40,7 +40,7 @@
 /// So often heard again, a rumour rests.
 const HEARD: u8 = 6;
 /// Between digests, spread by a fifth either way.
-const DIGEST: Duration = Duration::from_secs(1);
+const DIGEST: Duration = Duration::from_millis(1100);
 /// Digests that wait for their answers.
 const ASKED: usize = 8;
 /// Ranges of a digest.
@@ -67,6 +67,8 @@
 const VIEWED: Duration = Duration::from_millis(20);
 /// So often the core is told the sums anew.
 const TOTALS: Duration = Duration::from_millis(500);
+/// A member of this version has shown its card by then, or a datagram.
+const SHOWN: Duration = Duration::from_secs(3);
 /// Between two reports of a version that is not in force everywhere.
 const REPORTED: Duration = Duration::from_secs(10);
 /// A card whose initiator membership does not have yet is kept so long.
@@ -172,6 +174,10 @@
     /// Each card, the hash of its record, and since when it is here.
     cards: BTreeMap<SocketAddr, (Card, u32, Duration)>,
     speaks: BTreeSet<SocketAddr>,
+    /// Since when each member is there.
+    since: BTreeMap<SocketAddr, Duration>,
+    /// Lives that spoke this version and are members no more: who comes back needs no asking.
+    spoke: BTreeMap<SocketAddr, u64>,
     /// Partners by nearness: own zone, own region, elsewhere.
     partners: [Vec<SocketAddr>; 3],
     changed: bool,
@@ -204,6 +210,8 @@
             members: BTreeMap::new(),
             cards: BTreeMap::new(),
             speaks: BTreeSet::new(),
+            since: BTreeMap::new(),
+            spoke: BTreeMap::new(),
             partners: Default::default(),
             changed: false,
             view_at: now,
@@ -220,11 +228,18 @@
         }
     }
 
-    /// Members that are not known to speak this version, of whom one after another is asked over TCP.
+    /// Members that are not known to speak this version.
     pub fn unmet(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.members.keys().copied().filter(|at| !self.speaks.contains(at))
     }
 
+    /// Those of them that have been there for long enough to have shown a card: one after another is asked over TCP. A
+    /// newcomer would else be asked by all in one second.
+    pub fn to_ask(&self, now: Duration) -> impl Iterator<Item = SocketAddr> + '_ {
+        let since = |at: &SocketAddr| self.since.get(at).copied().unwrap_or_default();
+        self.unmet().filter(move |at| now >= since(at) + SHOWN)
+    }
+
     /// How many initiators speak this version, this one included.
     pub fn speakers(&self) -> usize {
         self.partners.iter().map(Vec::len).sum::<usize>() + 1
@@ -244,12 +259,18 @@
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Effect> {
         let mut out = Vec::new();
         match input {
-            Input::Up(at, life) => self.up(at, life),
+            Input::Up(at, life) => self.up(now, at, life),
             Input::Down(at, life) => {
                 if self.members.get(&at) == Some(&life) {
                     self.members.remove(&at);
                     self.cards.remove(&at);
-                    self.speaks.remove(&at);
+                    self.since.remove(&at);
+                    if self.speaks.remove(&at) {
+                        if self.spoke.len() >= CARDS_MOST {
+                            self.spoke.pop_first();
+                        }
+                        self.spoke.insert(at, life);
+                    }
                     self.rumours.remove(&Subject::Card(at));
                     self.changed = true;
                 }
@@ -294,20 +315,25 @@
         out
     }
 
-    fn up(&mut self, at: SocketAddr, life: u64) {
+    fn up(&mut self, now: Duration, at: SocketAddr, life: u64) {
         if at == self.me.at || self.members.insert(at, life) == Some(life) {
             return;
         }
+        self.since.insert(at, now);
+        self.changed = true;
+        let back = self.spoke.remove(&at) == Some(life);
         // Of another life nothing is known, not even whether it speaks this version.
         match self.cards.get(&at) {
             Some((card, ..)) if card.who.life == life => self.meet(at),
+            _ if back => self.meet(at),
             Some(_) => {
                 self.cards.remove(&at);
                 self.speaks.remove(&at);
             }
-            None => {}
+            None => {
+                self.speaks.remove(&at);
+            }
         }
-        self.changed = true;
     }
 
     fn meet(&mut self, at: SocketAddr) {
@@ -502,7 +528,12 @@
     }
 
     fn send(&mut self, now: Duration, to: SocketAddr, body: Body, out: &mut Vec<Effect>) -> bool {
-        let bytes = encode(&Message { from: self.me.who.clone(), body });
+        // Only what others saw needs the name of who tells it.
+        let name = match body {
+            Body::News(_) | Body::Records(_) => self.me.who.name.clone(),
+            Body::Digest(..) | Body::Differs(..) | Body::Want(_) | Body::Sums(_) => String::new(),
+        };
+        let bytes = encode(&Message { from: Observer { name, life: self.me.who.life }, body });
         let sent = self.sent.take(now, bytes.len() + HEADERS);
         if sent {
             out.push(Effect::Send(to, bytes));
@@ -575,7 +606,7 @@
 
     fn datagram(&mut self, now: Duration, from: SocketAddr, message: Message, out: &mut Vec<Effect>) {
         let Message { from: who, body } = message;
-        if who == self.me.who {
+        if from == self.me.at {
             return;
         }
         if self.members.contains_key(&from) {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -368,7 +368,8 @@
     async fn keep_asking(self) {
         loop {
             tokio::time::sleep(ASKED_EVERY).await;
-            let unmet = self.0.spread.borrow().unmet().choose(&mut rand::rng());
+            let now = self.0.start.elapsed();
+            let unmet = self.0.spread.borrow().to_ask(now).choose(&mut rand::rng());
             if let Some(at) = unmet {
                 self.ask(at).await;
             }
