--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,8 +1,10 @@
-//! `shaletack-lab`: experiments by name, in virtual time and from fixed seeds, whose results are kept as a table
-//! and a chart. It owns a fleet of the real reducers ([`fleet`]) and model boxes ([`model`]), and shows only
-//! what the benches outside cannot. It decides nothing: what it plays is the program's own core.
+//! `shaletack-lab`: experiments by name, whose results are kept as tables and charts: in virtual time and
+//! from fixed seeds, or on real sockets ([`hollow`]). It owns a fleet of the real reducers ([`fleet`]) and
+//! model boxes ([`model`]), and shows only what the benches outside cannot. It decides nothing: what it
+//! plays is the program's own core.
 
 mod fleet;
+mod hollow;
 mod model;
 mod restart;
 mod scale;
@@ -18,18 +20,32 @@
 static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
 
 const USAGE: &str = "usage: shaletack-lab restart [--seeds N] [--out DIR], or shaletack-lab scale --help
+       shaletack-lab hollow --program FILE [--initiators N] [--processes P] [--seconds T]
+         [--volumes V] [--out DIR]
   restart   an initiator is killed and returns with a stale list, amid drains, failing and cold boxes
   --seeds   so many seeds, from 1 (20)
-  --out     where table and chart go (.)";
+  hollow    initiators without clients on real sockets beside real processes of the program at FILE
+  --initiators  so many without clients, 1 to 1000 (100)
+  --processes   so many real ones, 9 to 20 (9)
+  --seconds     so long is measured while nothing happens, 1 to 600 (30); the rest takes five minutes at most
+  --volumes     then, for as long, so many of 1000 are used at each without clients, 0 to 1000 (0)
+  --out     where tables and charts go (.)";
 
 fn run() -> Result<(), String> {
     let (mut name, mut seeds, mut out) = (None, 20u64, PathBuf::from("."));
+    let mut hollow =
+        hollow::Set { initiators: 100, processes: 9, program: PathBuf::new(), seconds: 30, volumes: 0 };
     let mut args = lexopt::Parser::from_env();
     let told = |e: lexopt::Error| format!("{e}\n{USAGE}");
     while let Some(arg) = args.next().map_err(told)? {
         match arg {
             Long("seeds") => seeds = args.value().and_then(|v| v.parse()).map_err(told)?,
             Long("out") => out = args.value().map_err(told)?.into(),
+            Long("initiators") => hollow.initiators = args.value().and_then(|v| v.parse()).map_err(told)?,
+            Long("processes") => hollow.processes = args.value().and_then(|v| v.parse()).map_err(told)?,
+            Long("seconds") => hollow.seconds = args.value().and_then(|v| v.parse()).map_err(told)?,
+            Long("volumes") => hollow.volumes = args.value().and_then(|v| v.parse()).map_err(told)?,
+            Long("program") => hollow.program = args.value().map_err(told)?.into(),
             Long("help") | Short('h') => {
                 println!("{USAGE}");
                 return Ok(());
@@ -41,6 +57,7 @@
     }
     std::fs::create_dir_all(&out).map_err(|e| format!("{}: {e}", out.display()))?;
     match name.as_deref() {
+        Some("hollow") => hollow::run(&hollow, &out),
         Some("restart") if seeds > 0 => restart::run(seeds, &out),
         _ => Err(USAGE.into()),
     }
