Lab: slopes, one real process by what it costs for each client, request, box and restart

shaletack-lab slopes starts the program's binary on loopback, with boxes, discovery and clients of both fronts as tasks beside it, and measures at four points or more: idle clients, requests a second, boxes in the list, a restart whose clients come back. Memory, processor time and descriptors are what /proc says of the process.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,13 +1,14 @@
 //! `shaletack-lab`: experiments by name, whose results are kept as tables and charts: in virtual time and
-//! from fixed seeds, or on real sockets ([`hollow`]). It owns a fleet of the real reducers ([`fleet`]) and
-//! model boxes ([`model`]), and shows only what the benches outside cannot. It decides nothing: what it
-//! plays is the program's own core.
+//! from fixed seeds, or in real time, on real sockets ([`hollow`]) and of one real process ([`slopes`]). It owns a
+//! fleet of the real reducers ([`fleet`]) and model boxes ([`model`]), and shows only what the benches outside
+//! cannot. It decides nothing: what it plays is the program's own core.
 
 mod fleet;
 mod hollow;
 mod model;
 mod restart;
 mod scale;
+mod slopes;
 
 use cap::Cap;
 use lexopt::prelude::*;
@@ -22,7 +23,11 @@
 const USAGE: &str = "usage: shaletack-lab restart [--seeds N] [--out DIR], or shaletack-lab scale --help
        shaletack-lab hollow --program FILE [--initiators N] [--processes P] [--seconds T]
          [--volumes V] [--out DIR]
+       shaletack-lab slopes --program FILE [--only PART] [--out DIR]
   restart   an initiator is killed and returns with a stale list, amid drains, failing and cold boxes
+  slopes    one real process, by what it costs for each client, request, box and restart, in real time
+  --program the program's binary
+  --only    one of idle-http, idle-nbd, rate-http, rate-nbd, list, restart (all)
   --seeds   so many seeds, from 1 (20)
   hollow    initiators without clients on real sockets beside real processes of the program at FILE
   --initiators  so many without clients, 1 to 1000 (100)
@@ -35,6 +40,7 @@
     let (mut name, mut seeds, mut out) = (None, 20u64, PathBuf::from("."));
     let mut hollow =
         hollow::Set { initiators: 100, processes: 9, program: PathBuf::new(), seconds: 30, volumes: 0 };
+    let mut only = None::<String>;
     let mut args = lexopt::Parser::from_env();
     let told = |e: lexopt::Error| format!("{e}\n{USAGE}");
     while let Some(arg) = args.next().map_err(told)? {
@@ -46,6 +52,7 @@
             Long("seconds") => hollow.seconds = args.value().and_then(|v| v.parse()).map_err(told)?,
             Long("volumes") => hollow.volumes = args.value().and_then(|v| v.parse()).map_err(told)?,
             Long("program") => hollow.program = args.value().map_err(told)?.into(),
+            Long("only") => only = Some(args.value().and_then(|v| v.string()).map_err(told)?),
             Long("help") | Short('h') => {
                 println!("{USAGE}");
                 return Ok(());
@@ -59,6 +66,10 @@
     match name.as_deref() {
         Some("hollow") => hollow::run(&hollow, &out),
         Some("restart") if seeds > 0 => restart::run(seeds, &out),
+        Some("slopes") if hollow.program.as_os_str().is_empty() => {
+            Err(format!("slopes: --program is needed\n{USAGE}"))
+        }
+        Some("slopes") => slopes::run(&hollow.program, only.as_deref(), &out),
         _ => Err(USAGE.into()),
     }
 }
--- /dev/null
+++ b/crates/lab/src/slopes/process.rs
@@ -0,0 +1,218 @@
+//! One real process of the program: its files, its start and its end, and what the system says of it.
+
+use super::stand::{Discovery, EXPORTS, SHARD};
+use super::Front;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+/// Nothing that is waited for here takes longer.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// A new process is asked so often whether it listens.
+const POLL: Duration = Duration::from_millis(1);
+/// The operator's file of the deployment's example; its scheduler's settings count on both fronts.
+const EXAMPLE: &str = include_str!("../../../../deploy/operator.json");
+
+/// What a process is started with.
+#[derive(Clone)]
+pub struct Setup {
+    pub front: Front,
+    pub listen: SocketAddr,
+    pub boxes: Vec<SocketAddr>,
+    /// Descriptors, and on the platform's front MiB, as the file grants them.
+    pub sockets: usize,
+    pub memory_mb: u64,
+    /// The box that drains by the file's own list.
+    pub draining: Option<usize>,
+}
+
+impl Setup {
+    /// The file as the program reads it.
+    pub fn text(&self, discovery: SocketAddr) -> Result<String, String> {
+        let mut file: Value =
+            serde_json::from_str(EXAMPLE).map_err(|e| format!("deploy/operator.json: {e}"))?;
+        let boxes: Vec<Value> = self
+            .boxes
+            .iter()
+            .enumerate()
+            .map(|(shard, at)| {
+                let phase = if self.draining == Some(shard) { "draining" } else { "up" };
+                json!({"id": format!("s-{shard:08x}"), "host_port": at.to_string(), "locality": "caxias-sala",
+                "cell": shard, "phase": phase, "up_since_ms": 0})
+            })
+            .collect();
+        if self.front == Front::Http {
+            let mut settings = file["settings"].take();
+            settings["plans"] =
+                json!([{"name": "prioritario", "base-rate": 2000, "guaranteed": 2000, "shares": 3}]);
+            let config = json!({
+                "name": "n1", "listen": self.listen.to_string(), "discovery": discovery.to_string(),
+                "seed": "1",
+                "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
+                "known": {"revision": 1, "complete": true, "members": boxes}, "settings": settings
+            });
+            return Ok(config.to_string());
+        }
+        let extents = self.boxes.len() / EXPORTS;
+        let exports: Vec<Value> = (0..EXPORTS)
+            .map(|e| {
+                let on = |x| json!({"length": SHARD, "shard": e * extents + x, "at": 0});
+                json!({"name": format!("e{e}"), "team": "t", "plan": "p", "volume": format!("{:x}", e + 1),
+                "hosts": 1,
+                "size": SHARD * extents as u64, "extents": (0..extents).map(on).collect::<Vec<_>>()})
+            })
+            .collect();
+        file["listen"] = json!(self.listen.to_string());
+        file["sockets"] = json!(self.sockets);
+        file["teams"] = json!([{"name": "t", "contracts": [{"plan": "p", "reserve": 2000, "weight": 3}]}]);
+        file["exports"] = json!(exports);
+        file["boxes"] = json!(boxes);
+        Ok(file.to_string())
+    }
+}
+
+/// The process; it ends with this value.
+pub struct Process {
+    child: Child,
+    pid: Pid,
+    lines: mpsc::UnboundedReceiver<(Instant, String)>,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// From just before exec to the first connection.
+    pub ready_after: Duration,
+    file: PathBuf,
+}
+
+impl Process {
+    /// Starts it, and waits until it listens.
+    pub async fn start(
+        program: &Path,
+        folder: &Path,
+        setup: &Setup,
+        discovery: &Discovery,
+    ) -> Result<Self, String> {
+        let file = folder.join("config.json");
+        write(&file, &setup.text(discovery.address)?)?;
+        let mut command = Command::new(program);
+        for variable in ["NAME", "LISTEN", "DISCOVERY", "CONFIG", "MANAGEMENT", "FD"] {
+            command.env_remove(format!("ROUTER_{variable}"));
+        }
+        let option = if setup.front == Front::Http { "--config" } else { "--operator" };
+        command.arg("serve").arg(option).arg(&file).env("TMPDIR", folder).stdin(Stdio::null());
+        let started = Instant::now();
+        let mut child = command
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| format!("{}: {e}", program.display()))?;
+        let said = child.stderr.take().ok_or("the program has no standard error")?;
+        let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).ok_or("the program ended at once")?;
+        let (say, lines) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            let mut said = BufReader::new(said).lines();
+            while let Ok(Some(line)) = said.next_line().await {
+                if say.send((Instant::now(), line)).is_err() {
+                    return;
+                }
+            }
+        });
+        let (address, file) = (setup.listen, file);
+        let mut process = Process { child, pid, lines, address, ready_after: Duration::ZERO, file };
+        // Its line that it listens may be cut from the log, among those of a long list.
+        while TcpStream::connect(address).await.is_err() {
+            if started.elapsed() > PATIENCE || process.child.try_wait().is_ok_and(|ended| ended.is_some()) {
+                let last = process.says("shaletack: ").await.map_or_else(|why| why, |(_, line)| line);
+                return Err(format!("the program does not listen at {address}: {last}"));
+            }
+            sleep(POLL).await;
+        }
+        process.ready_after = started.elapsed();
+        Ok(process)
+    }
+
+    /// Its next line with this in it, and when it came.
+    pub async fn says(&mut self, what: &str) -> Result<(Instant, String), String> {
+        let mut last = String::new();
+        let found = tokio::time::timeout(PATIENCE, async {
+            while let Some((at, line)) = self.lines.recv().await {
+                if line.contains(what) {
+                    return Some((at, line));
+                }
+                last = line;
+            }
+            None
+        });
+        let found = found.await.ok().flatten();
+        found.ok_or_else(|| format!("the program did not say '{what}'; the last it said: {last}"))
+    }
+
+    /// Forgets what it has said so far.
+    pub fn forget(&mut self) {
+        while self.lines.try_recv().is_ok() {}
+    }
+
+    /// Gives it another file and tells it to read that; when it was told.
+    pub fn hang_up(&self, text: &str) -> Result<Instant, String> {
+        write(&self.file, text)?;
+        let at = Instant::now();
+        kill_process(self.pid, Signal::HUP).map_err(|e| format!("SIGHUP: {e}"))?;
+        Ok(at)
+    }
+
+    /// Ends it as a crash would.
+    pub async fn kill(mut self) -> Result<(), String> {
+        self.child.kill().await.map_err(|e| format!("the program can't be ended: {e}"))
+    }
+
+    /// Resident bytes.
+    pub fn resident(&self) -> Result<f64, String> {
+        let text = self.read("statm")?;
+        let pages: f64 =
+            text.split(' ').nth(1).and_then(|n| n.parse().ok()).ok_or("statm has no second field")?;
+        Ok(pages * rustix::param::page_size() as f64)
+    }
+
+    /// Processor time of all its threads so far, user and system, in seconds.
+    pub fn spent(&self) -> Result<f64, String> {
+        let mut nanos = 0.0;
+        for task in list(&self.path("task"))? {
+            let text =
+                std::fs::read_to_string(task.join("schedstat")).map_err(|e| format!("schedstat: {e}"))?;
+            nanos +=
+                text.split(' ').next().and_then(|n| n.parse::<f64>().ok()).ok_or("schedstat is empty")?;
+        }
+        Ok(nanos / 1e9)
+    }
+
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> Result<usize, String> {
+        list(&self.path("fd")).map(|all| all.len())
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        PathBuf::from(format!("/proc/{}/{name}", self.pid.as_raw_nonzero()))
+    }
+
+    fn read(&self, name: &str) -> Result<String, String> {
+        let path = self.path(name);
+        std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))
+    }
+}
+
+fn list(folder: &Path) -> Result<Vec<PathBuf>, String> {
+    let told = |e| format!("{}: {e}", folder.display());
+    std::fs::read_dir(folder).map_err(told)?.map(|entry| entry.map(|e| e.path()).map_err(told)).collect()
+}
+
+fn write(file: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))
+}
