--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -27,7 +27,7 @@
   restart   an initiator is killed and returns with a stale list, amid drains, failing and cold boxes
   slopes    one real process, by what it costs for each client, request, box and restart, in real time
   --program the program's binary
-  --only    one of idle-http, idle-nbd, rate-http, rate-nbd, list, restart (all)
+  --only    one of idle-http, idle-nbd, rate-http, rate-http-880, rate-nbd, rate-nbd-880, list, restart (all)
   --seeds   so many seeds, from 1 (20)
   hollow    initiators without clients on real sockets beside real processes of the program at FILE
   --initiators  so many without clients, 1 to 1000 (100)
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -60,7 +60,8 @@
 /// A client whose connection was refused or reset comes again after this.
 const COMES_AGAIN: Duration = Duration::from_millis(200);
 
-const PARTS: [&str; 6] = ["idle-http", "idle-nbd", "rate-http", "rate-nbd", "list", "restart"];
+const PARTS: [&str; 8] =
+    ["idle-http", "idle-nbd", "rate-http", "rate-http-880", "rate-nbd", "rate-nbd-880", "list", "restart"];
 
 /// Measures the parts, or one of them, and leaves the tables in a folder.
 pub fn run(program: &Path, only: Option<&str>, out: &Path) -> Result<(), String> {
@@ -128,8 +129,10 @@
         match part {
             "idle-http" => self.idle(part, Front::Http).await,
             "idle-nbd" => self.idle(part, Front::Nbd).await,
-            "rate-http" => self.rate(part, Front::Http).await,
-            "rate-nbd" => self.rate(part, Front::Nbd).await,
+            "rate-http" => self.rate(part, Front::Http, LISTS[0]).await,
+            "rate-http-880" => self.rate(part, Front::Http, LISTS[3]).await,
+            "rate-nbd" => self.rate(part, Front::Nbd, LISTS[0]).await,
+            "rate-nbd-880" => self.rate(part, Front::Nbd, LISTS[3]).await,
             "list" => {
                 self.list("list-http", Front::Http).await?;
                 self.list("list-nbd", Front::Nbd).await
@@ -213,8 +216,8 @@
         table.write(&self.out)
     }
 
-    async fn rate(&self, part: &str, front: Front) -> Result<(), String> {
-        let boxes = Boxes::start(front, LISTS[0]).await.map_err(told)?;
+    async fn rate(&self, part: &str, front: Front, count: usize) -> Result<(), String> {
+        let boxes = Boxes::start(front, count).await.map_err(told)?;
         let mut table = Table::new(
             part,
             "rate run served refused core_us_per_s core_us_per_request p50_ms p99_ms \
@@ -222,7 +225,7 @@
         );
         for (rate, run) in RATES.into_iter().flat_map(|rate| (0..RUNS).map(move |run| (rate, run))) {
             let Measured { process, .. } = self.start(front, &boxes, ROOMY, 0).await?;
-            let (mut load, spent) = loaded(&process, front, LISTS[0], rate, Duration::from_secs(8)).await?;
+            let (mut load, spent) = loaded(&process, front, count, rate, Duration::from_secs(8)).await?;
             table.row(&[
                 rate as f64,
                 run as f64,
