The listener's backlog holds clients that come back at one instant

Cause, as far as seen: the backlog was the library's 128 (ss -lnt), with ListenOverflows and SyncookiesSent beside it. A system that answers by SYN cookies forgets whom it answered; over NBD the server speaks first, so nothing that the client sends brings such a connection up. Change: the gate sets 4,096 (or net.core.somaxconn, if less), also for a socket that the program was handed. Tested: tests/nbd.rs clients_that_come_at_one_instant_are_all_greeted, red without the call (connects beyond the backlog timed out), green with it; nbd 8 of 8.

--- a/src/runtime/gate.rs
+++ b/src/runtime/gate.rs
@@ -1,6 +1,7 @@
 //! The way in and out that all fronts share: accepting, and ending as the platform asks.
 
 use super::host::Host;
+use socket2::SockRef;
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
@@ -10,6 +11,10 @@
 use tokio::time::Instant;
 use tracing::{info, warn};
 
+/// So many connections may wait to be accepted, where the system allows it: after a restart thousands of clients
+/// come at one instant. Where it is full the system answers by SYN cookies and forgets whom it answered: an NBD
+/// client, to whom the server speaks first, would wait for ever.
+const BACKLOG_MOST: i32 = 4096;
 /// How long a stopping program still accepts: clients keep coming until they know.
 const STILL_ACCEPTS: Duration = Duration::from_millis(450);
 /// Connections no request is on are closed that long after the signal.
@@ -103,6 +108,10 @@
         serve: impl Fn(TcpStream) -> F,
     ) {
         let Gate { listener, host, most, closing, succeeded } = self;
+        // Also of a socket that the program was handed: a second call sets the length anew.
+        if let Err(why) = SockRef::from(&listener).listen(BACKLOG_MOST) {
+            warn!(%why, "the listener keeps the backlog that it has");
+        }
         let count = Rc::new(Count { open: Cell::new(0), fell: Notify::new() });
         let start = |stream: TcpStream| {
             // Answers are small; waiting to fill a segment would make them late.
--- a/tests/nbd.rs
+++ b/tests/nbd.rs
@@ -173,3 +173,25 @@
         assert_eq!(client.0.read(&mut [0]).await.unwrap(), 0);
     });
 }
+
+/// 7,400 clients came back at one instant, and with a backlog of 128 half of them were lost for good: the server
+/// speaks first, so nothing that such a client sends brings its connection up again.
+#[test]
+fn clients_that_come_at_one_instant_are_all_greeted() {
+    story(async {
+        let boxes = two_boxes(Script::Serve, Script::Serve).await;
+        let mut operator = over(&boxes);
+        operator.sockets = 4096;
+        let (front, _, _) = nbd_front(operator).await;
+        drop(NbdClient::connect(front).await);
+        // On the front's own thread: it accepts nothing until all of them are on their way.
+        let patience = std::time::Duration::from_secs(2);
+        let come = |_| std::net::TcpStream::connect_timeout(&front, patience).expect("it comes up");
+        for stream in (0..300).map(come).collect::<Vec<_>>() {
+            stream.set_nonblocking(true).unwrap();
+            let mut stream = tokio::net::TcpStream::from_std(stream).unwrap();
+            let greeted = tokio::time::timeout(patience, stream.read_u64()).await;
+            assert_eq!(greeted.expect("a greeting in time").unwrap(), INIT_MAGIC);
+        }
+    });
+}
