Spread: tests of rules that a seeded fault could break unseen

Need: seeded faults of the spread and the sums are to be found each, and some rules had no test that would.

Change: tests are added, none is changed. A rumour goes to three partners in three rounds, and rests after it was heard again six times, not five; who tells older news is told the newer; the card of who is down goes at once; what was passed on more than 32 times is refused; drains are in the first datagram; a contribution goes with its life; a new owner's part replaces all of the one before; a total ends 4 s after its oldest part came, also where its answer was half a second on the way; no bits read as more than the greatest amount.

--- a/crates/spread/tests/spread.rs
+++ b/crates/spread/tests/spread.rs
@@ -710,3 +710,92 @@
         prop_assert!(net.knows(0, &drains("s-1")));
     }
 }
+
+/// Messages that one process sends by itself, read.
+fn bodies(effects: &[Effect]) -> Vec<(SocketAddr, Body)> {
+    let sent = effects.iter().filter_map(|effect| match effect {
+        Effect::Send(to, bytes) => Some((*to, decode(bytes).expect("an own datagram").body)),
+        _ => None,
+    });
+    sent.collect()
+}
+
+/// Nine pushes where nobody says the same, or five times; none once it was heard again six times.
+#[test]
+fn a_rumour_goes_to_three_partners_three_times_and_rests_after_it_was_heard_again_six_times() {
+    for heard in [0, 5, 6] {
+        let mut net = Net::settled(8, 1, 18);
+        let mut now = net.nodes[0].clock(net.now);
+        let spread = &mut net.nodes[0].spread;
+        spread.step(now, Input::Say(vec![seen(&who(0, 1), drains("s-1"))]));
+        for _ in 0..heard {
+            let news = Body::News(vec![Item::Fact(seen(&who(1, 1), drains("s-1")))]);
+            spread.step(now, Input::Datagram(at(1), encode(&Message { from: who(1, 1), body: news })));
+        }
+        let mut rounds = Vec::new();
+        for _ in 0..1000 {
+            now += MS;
+            let sent = bodies(&spread.step(now, Input::Woke));
+            let to: Vec<_> =
+                sent.iter().filter(|(_, b)| matches!(b, Body::News(_))).map(|(to, _)| *to).collect();
+            if !to.is_empty() {
+                assert_eq!(to.iter().collect::<BTreeSet<_>>().len(), to.len(), "each partner once: {to:?}");
+                rounds.push(to.len());
+            }
+        }
+        let expected = if heard < 6 { vec![3, 3, 3] } else { vec![] };
+        assert_eq!(rounds, expected, "heard again {heard} times");
+    }
+}
+
+#[test]
+fn who_tells_older_news_is_told_the_newer() {
+    let mut net = Net::settled(3, 1, 19);
+    net.say(0, ready("s-1"));
+    let now = net.nodes[0].clock(net.now);
+    let older = Told { age: 30 * S, ..seen(&who(1, 1), drains("s-1")) };
+    let bytes = encode(&Message { from: who(1, 1), body: Body::News(vec![Item::Fact(older)]) });
+    let effects = net.nodes[0].spread.step(now, Input::Datagram(at(1), bytes));
+    let newer = Body::Records(vec![Item::Fact(seen(&who(0, 1), ready("s-1")))]);
+    assert_eq!(bodies(&effects), [(at(1), newer)]);
+    assert!(net.knows(0, &ready("s-1")));
+}
+
+#[test]
+fn the_card_of_who_is_down_goes_at_once_and_that_of_a_later_life_stays() {
+    let mut net = Net::settled(5, 1, 20);
+    let cards = |net: &Net| net.nodes[0].spread.cards().map(|card| card.at).collect::<Vec<_>>();
+    net.step(0, Input::Down(at(2), 7));
+    assert_eq!(cards(&net), [at(1), at(2), at(3), at(4)]);
+    net.step(0, Input::Down(at(3), 1));
+    assert_eq!(cards(&net), [at(1), at(2), at(4)]);
+}
+
+#[test]
+fn what_was_passed_on_more_often_than_anybody_does_is_refused() {
+    let mut net = Net::settled(3, 1, 21);
+    for (hops, refused) in [(HOPS_MOST, vec![]), (HOPS_MOST + 1, vec![Effect::Unsound("n1".into(), 1)])] {
+        let still = Item::Still(Still { by: who(2, 1), hops, age: S, ids: vec![1] });
+        let bytes = encode(&Message { from: who(1, 1), body: Body::News(vec![still]) });
+        net.step(0, Input::Datagram(at(1), bytes));
+        assert_eq!(net.nodes[0].refused, refused, "{hops}");
+    }
+}
+
+#[test]
+fn of_more_news_than_fits_a_datagram_drains_go_in_the_first() {
+    let mut net = Net::settled(5, 1, 22);
+    let now = net.nodes[0].clock(net.now);
+    let fails = (0..100).map(|b| seen(&who(0, 1), What::Failing(format!("f-{b}"), true)));
+    let told = fails.chain([seen(&who(0, 1), drains("a-1")), seen(&who(0, 1), drains("z-1"))]).collect();
+    let spread = &mut net.nodes[0].spread;
+    spread.step(now, Input::Say(told));
+    let sent = bodies(&spread.step(now + 20 * MS, Input::Woke));
+    let news =
+        sent.iter().find_map(|(_, body)| if let Body::News(items) = body { Some(items) } else { None });
+    let news = news.expect("it is pushed at once");
+    assert!(news.len() > 10 && news.len() < 100, "{}", news.len());
+    for (item, id) in news.iter().zip(["a-1", "z-1"]) {
+        assert!(matches!(item, Item::Fact(told) if told.what == drains(id)), "{item:?}");
+    }
+}
--- a/crates/spread/tests/sums.rs
+++ b/crates/spread/tests/sums.rs
@@ -963,3 +963,86 @@
     let (busy, ..) = cost(100, 9, 100, 0.3);
     assert!(busy <= 2.0 * quiet, "{busy} {quiet}");
 }
+
+/// A page of one key.
+fn page_of(key: Key, (page, pages): (u8, u8), seq: u32, amount: u64) -> Page {
+    let layout = Layout::Full(vec![(short(key), 1)]);
+    let shard = shard_of(short(key)) as u8;
+    Page { shard, page, pages, split: WHOLE_REGION, seq, layout, amounts: vec![pack(amount)] }
+}
+
+/// What a member at that address is answered when it tells 10: the sum and the number of initiators in it.
+fn answer(sums: &mut Sums, now: Duration, member: usize, key: Key, seq: u32) -> Option<(u64, u32)> {
+    let out = sums.hear(now, at(member), 1, Message::Tell(page_of(key, (0, 1), seq, 10)));
+    match &out[..] {
+        [(to, Message::Totals { totals, .. })] if *to == at(member) => {
+            Some((unpack(totals[0].0), totals[0].1))
+        }
+        _ => None,
+    }
+}
+
+#[test]
+fn a_contribution_goes_at_once_when_membership_has_that_life_no_more() {
+    let key = Key::Demand(1);
+    for (later, other) in [(vec![(at(1), 2, place(0))], "another life"), (vec![], "nobody")] {
+        let mut sums = Sums::new(at(0), 1, place(0), 1);
+        sums.view(S, &[(at(1), 1, place(0)), (at(2), 1, place(0))]);
+        sums.hear(S, at(1), 1, Message::Tell(page_of(key, (0, 1), 1, 100)));
+        assert_eq!(answer(&mut sums, S, 2, key, 1), Some((110, 2)));
+        sums.view(S + 300 * MS, &[&[(at(2), 1, place(0))], &later[..]].concat());
+        assert_eq!(answer(&mut sums, S + 300 * MS, 2, key, 2), Some((10, 1)), "{other} is there");
+    }
+}
+
+#[test]
+fn a_new_owners_part_replaces_all_that_the_owner_before_it_said() {
+    let key = Key::Demand(1);
+    let mut owners = 0;
+    for (before, after) in [(1, 2), (2, 1)] {
+        let mut sums = Sums::new(at(0), 1, place(0), 1);
+        let others = [(at(9), 1, place(0)), (at(before), 1, place(3)), (at(after), 1, place(3))];
+        sums.view(S, &others);
+        sums.hear(S, at(before), 1, Message::Part(page_of(key, (1, 2), 50, 100)));
+        // One of the two is the owner of the key there.
+        if answer(&mut sums, S, 9, key, 1) == Some((10, 1)) {
+            continue;
+        }
+        owners += 1;
+        sums.view(S + 100 * MS, &[others[0].clone(), others[2].clone()]);
+        sums.hear(S + 200 * MS, at(after), 1, Message::Part(page_of(key, (0, 2), 1, 30)));
+        assert_eq!(answer(&mut sums, S + 300 * MS, 9, key, 2), Some((40, 2)));
+    }
+    assert_eq!(owners, 1);
+}
+
+#[test]
+fn a_total_ends_four_seconds_after_its_oldest_part_came() {
+    let keys: Vec<(Key, u64)> = (0..64).map(|volume| (Key::Demand(volume), 10)).collect();
+    let mut sums = Sums::new(at(0), 1, place(0), 1);
+    let now = 100 * S;
+    sums.view(now, &[(at(1), 1, place(0))]);
+    sums.own(now, keys.clone());
+    let asked = now + 200 * MS;
+    let out = sums.tick(asked);
+    let told = out.iter().find_map(|(_, m)| if let Message::Tell(page) = m { Some(page) } else { None });
+    let Page { shard, page, seq, amounts, .. } = told.expect("a shard whose owner is the other").clone();
+    let totals = vec![(pack(500), 2); amounts.len()];
+    let totals = Message::Totals { shard, page, seq, age: 150, missing: 0, totals };
+    // Half a second on the way, and its oldest part was three seconds old when it was asked for.
+    sums.hear(asked + 500 * MS, at(1), 1, totals);
+    let key =
+        keys.iter().find(|(key, _)| shard_of(short(*key)) == usize::from(shard)).expect("one of them").0;
+    let total = Total { others: 490, count: 2, age: 3500 * MS, missing: 0 };
+    assert_eq!(sums.total(asked + 500 * MS, key), Some(total));
+    assert!(sums.total(asked + S, key).is_some());
+    assert_eq!(sums.total(asked + S + MS, key), None);
+}
+
+#[test]
+fn of_all_bits_none_read_as_more_than_the_greatest_amount() {
+    let amounts: Vec<u64> = (0..=u16::MAX).map(unpack).collect();
+    assert!(amounts.is_sorted());
+    assert_eq!(amounts.last(), Some(&AMOUNT_MOST));
+    assert!(amounts.iter().all(|amount| unpack(pack(*amount)) == *amount));
+}
