--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod hollow;
 mod model;
+mod mutants;
 mod restart;
 mod scale;
 mod slopes;
@@ -24,6 +25,7 @@
        shaletack-lab hollow --program FILE [--initiators N] [--processes P] [--seconds T]
          [--volumes V] [--out DIR]
        shaletack-lab slopes --program FILE [--only PART] [--out DIR]
+       shaletack-lab mutants [--only NAME] [--jobs N]
   restart   an initiator is killed and returns with a stale list, amid drains, failing and cold boxes
   slopes    one real process, by what it costs for each client, request, box and restart, in real time
   --program the program's binary
@@ -34,13 +36,16 @@
   --processes   so many real ones, 9 to 20 (9)
   --seconds     so long is measured while nothing happens, 1 to 600 (30); the rest takes five minutes at most
   --volumes     then, for as long, so many of 1000 are used at each without clients, 0 to 1000 (0)
-  --out     where tables and charts go (.)";
+  --out     where tables and charts go (.)
+  mutants   seeded faults of the spread and the sums, each of which a test has to find; at the project's root
+  --only    the mutant of that name alone
+  --jobs    so many at once, in builds and tests, from 1 (2)";
 
 fn run() -> Result<(), String> {
     let (mut name, mut seeds, mut out) = (None, 20u64, PathBuf::from("."));
     let mut hollow =
         hollow::Set { initiators: 100, processes: 9, program: PathBuf::new(), seconds: 30, volumes: 0 };
-    let mut only = None::<String>;
+    let (mut only, mut jobs) = (None::<String>, 2usize);
     let mut args = lexopt::Parser::from_env();
     let told = |e: lexopt::Error| format!("{e}\n{USAGE}");
     while let Some(arg) = args.next().map_err(told)? {
@@ -53,6 +58,7 @@
             Long("volumes") => hollow.volumes = args.value().and_then(|v| v.parse()).map_err(told)?,
             Long("program") => hollow.program = args.value().map_err(told)?.into(),
             Long("only") => only = Some(args.value().and_then(|v| v.string()).map_err(told)?),
+            Long("jobs") => jobs = args.value().and_then(|v| v.parse()).map_err(told)?,
             Long("help") | Short('h') => {
                 println!("{USAGE}");
                 return Ok(());
@@ -62,6 +68,9 @@
             other => return Err(told(other.unexpected())),
         }
     }
+    if name.as_deref() == Some("mutants") && jobs > 0 {
+        return mutants::run(only.as_deref(), jobs);
+    }
     std::fs::create_dir_all(&out).map_err(|e| format!("{}: {e}", out.display()))?;
     match name.as_deref() {
         Some("hollow") => hollow::run(&hollow, &out),
