--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -208,7 +208,7 @@
     }
 }
 
-/// A member that says nothing is suspected within 2.5 s and taken for dead 3.5 s after; a partition that heals is
+/// A member that says nothing is suspected within 3 s and taken for dead 3.5 s after; a partition that heals is
 /// noticed within 10 s. Where a twentieth of all datagrams is lost one probe in ten comes back with nothing: four others
 /// are asked then, so that hardly anybody is suspected for it, and news of a suspicion and of its refutation goes out
 /// four times a second, each piece twenty times by each, so that the refutation is with all in time.
@@ -219,7 +219,7 @@
         Some(foca::PeriodicParams { frequency: Duration::from_millis(ms), num_members })
     };
     foca::Config {
-        probe_period: Duration::from_millis(1300),
+        probe_period: Duration::from_millis(1500),
         probe_rtt: Duration::from_millis(300),
         num_indirect_probes: NonZeroUsize::new(4).unwrap_or(one),
         suspect_to_down_after: Duration::from_millis(3500),
