A fact that is older than its hearer keeps its age

Cause: Told::heard subtracts ages from a clock that starts at zero (src/peers: start.elapsed()). Change: within, the spread's clock begins two minutes on.

--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -69,6 +69,8 @@
 const TOTALS: Duration = Duration::from_millis(500);
 /// A member of this version has shown its card by then, or a datagram.
 const SHOWN: Duration = Duration::from_secs(3);
+/// The clock within shows at least this at the start.
+const BEGUN: Duration = KEPT.saturating_mul(2);
 /// Between two reports of a version that is not in force everywhere.
 const REPORTED: Duration = Duration::from_secs(10);
 /// A card whose initiator membership does not have yet is kept so long.
@@ -166,6 +168,8 @@
 /// One process's part in the spread.
 #[derive(Debug)]
 pub struct Spread {
+    /// By so much moments within are later than the caller's.
+    ahead: Duration,
     me: Card,
     rng: StdRng,
     known: Knowledge,
@@ -198,11 +202,15 @@
 }
 
 impl Spread {
-    /// Alone yet. `now` is on the process's monotonic clock, as all moments here.
+    /// Alone yet. `now` is on the process's monotonic clock, as all moments here; that may begin with the process.
     pub fn new(who: Observer, at: SocketAddr, place: Place, seed: u64, now: Duration) -> Self {
+        // What was seen before the process began is older than its clock: within, that clock begins earlier.
+        let ahead = BEGUN.saturating_sub(now);
+        let now = now + ahead;
         let mut rng = StdRng::seed_from_u64(seed);
         let sums = Sums::new(at, who.life, place.clone(), rng.random());
         Spread {
+            ahead,
             me: Card { who, at, place },
             rng,
             known: Knowledge::default(),
@@ -236,6 +244,7 @@
     /// Those of them that have been there for long enough to have shown a card: one after another is asked over TCP. A
     /// newcomer would else be asked by all in one second.
     pub fn to_ask(&self, now: Duration) -> impl Iterator<Item = SocketAddr> + '_ {
+        let now = now + self.ahead;
         let since = |at: &SocketAddr| self.since.get(at).copied().unwrap_or_default();
         self.unmet().filter(move |at| now >= since(at) + SHOWN)
     }
@@ -245,7 +254,7 @@
         self.partners.iter().map(Vec::len).sum::<usize>() + 1
     }
 
-    /// The facts that are held.
+    /// The facts that are held, by the clock within: the caller's where that was two minutes on at the start.
     pub fn known(&self) -> &Knowledge {
         &self.known
     }
@@ -257,6 +266,7 @@
 
     /// The one way in.
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Effect> {
+        let now = now + self.ahead;
         let mut out = Vec::new();
         match input {
             Input::Up(at, life) => self.up(now, at, life),
@@ -311,7 +321,7 @@
         let view = self.changed.then_some(self.view_at);
         let next =
             self.push_at.into_iter().chain(view).fold(self.digest_at.min(self.sums.wake_at()), Duration::min);
-        out.push(Effect::Wake(next.max(now + MS)));
+        out.push(Effect::Wake(next.max(now + MS).saturating_sub(self.ahead)));
         out
     }
 
@@ -558,7 +568,7 @@
         if !totals.is_empty() {
             out.push(Effect::Totals(totals));
         }
-        if let Some(report) = self.in_force(now) {
+        if let Some(report) = self.report(now) {
             let news = match self.reported {
                 None => report.everywhere() || report.since >= REPORTED,
                 Some((last, at)) => {
@@ -582,6 +592,10 @@
     /// How far the version in force here is known to be in force elsewhere; `None`: none is named, or no sum is
     /// there yet.
     pub fn in_force(&self, now: Duration) -> Option<InForce> {
+        self.report(now + self.ahead)
+    }
+
+    fn report(&self, now: Duration) -> Option<InForce> {
         let (version, from) = self.configured?;
         let of = self.members.len() + 1;
         let counted = self.sums.total(now, Key::InForce(version)).map(|total| total.count as usize);
--- a/crates/spread/tests/spread.rs
+++ b/crates/spread/tests/spread.rs
@@ -799,3 +799,24 @@
         assert!(matches!(item, Item::Fact(told) if told.what == drains(id)), "{item:?}");
     }
 }
+
+/// The clock of a process begins at zero with it. What is older than the process looks no younger for that, and of two
+/// such facts the later one counts.
+#[test]
+fn a_fact_that_is_older_than_who_hears_it_keeps_its_age_and_its_order() {
+    let mut spread = Spread::new(who(0, 1), at(0), Place::default(), 1, Duration::ZERO);
+    let news = |age: Duration, what: What| {
+        let told = Told { age, ..seen(&who(1, 1), what) };
+        Input::Datagram(at(1), encode(&Message { from: who(1, 1), body: Body::News(vec![Item::Fact(told)]) }))
+    };
+    // Drained 50 s ago and back 10 s ago; the two come in either order.
+    spread.step(S, news(10 * S, ready("s-1")));
+    let effects = spread.step(S, news(50 * S, drains("s-1")));
+    let effects = [effects, spread.step(S, news(50 * S, drains("s-2")))].concat();
+    let learnt =
+        effects.iter().flat_map(|e| if let Effect::Learnt(told) = e { told.clone() } else { vec![] });
+    let learnt: Vec<(What, Duration)> = learnt.map(|told| (told.what, told.age)).collect();
+    let known = spread.known().get(&Topic::Standing("s-1".into())).map(|fact| fact.what.clone());
+    assert_eq!(known, Some(ready("s-1")));
+    assert!(learnt.iter().all(|(_, age)| *age >= 50 * S), "{learnt:?}");
+}
