A configuration that names no version has none in force

Need, by reading: a file without 'version', read at SIGHUP, left the version of the file before in force in the reports. Change: Input::Configured takes none as well. Measured: a_version_is_told_to_be_in_force... asks it, and passes.

--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -375,7 +375,7 @@
         let first = Duration::from_nanos(self.rng.random_range(0..ASKED_EVERY.as_nanos() as u64));
         self.at(self.now + first, Event::Turn { at: i, boot });
         if self.arm == Arm::After {
-            self.spread(i, spread::spread::Input::Configured(1));
+            self.spread(i, spread::spread::Input::Configured(Some(1)));
             self.at(self.now + first / 2, Event::Adds { at: i, boot });
         }
         if self.busy {
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -96,8 +96,8 @@
     Exchanged(Observer, Duration, Vec<Told>),
     /// What this process is asked for and has spent now, in thousandths; replaces the last.
     Amounts(Vec<(Key, u64)>),
-    /// This process has that version of the configuration in force, from now on.
-    Configured(u64),
+    /// This process has that version of the configuration in force, from now on; `None`: one that names no version.
+    Configured(Option<u64>),
     /// A datagram came.
     Datagram(SocketAddr, Vec<u8>),
     /// A wait is over.
@@ -308,8 +308,8 @@
                 self.sums.own(now, amounts);
             }
             Input::Configured(version) => {
-                if self.configured.is_none_or(|(before, _)| before != version) {
-                    (self.configured, self.reported) = (Some((version, now)), None);
+                if self.configured.map(|(before, _)| before) != version {
+                    (self.configured, self.reported) = (version.map(|version| (version, now)), None);
                 }
             }
             Input::Datagram(from, bytes) => {
--- a/crates/spread/tests/spread.rs
+++ b/crates/spread/tests/spread.rs
@@ -656,7 +656,7 @@
             net.step(i, Input::Amounts(vec![(Key::Demand(i as u64), 5)]));
         }
     };
-    (0..40).for_each(|i| net.step(i, Input::Configured(7)));
+    (0..40).for_each(|i| net.step(i, Input::Configured(Some(7))));
     for _ in 0..5 {
         amounts(&mut net);
         net.pass(S);
@@ -668,7 +668,7 @@
     }
     // A new version at all but three.
     let changed = net.now;
-    (0..37).for_each(|i| net.step(i, Input::Configured(8)));
+    (0..37).for_each(|i| net.step(i, Input::Configured(Some(8))));
     for _ in 0..13 {
         amounts(&mut net);
         net.pass(S);
@@ -678,7 +678,7 @@
         assert_eq!((last.version, last.have, last.of, last.everywhere()), (8, 37, 40, false));
         assert!(at <= changed + 13 * S && node.reports.len() == 2, "{:?}", node.reports);
     }
-    (37..40).for_each(|i| net.step(i, Input::Configured(8)));
+    (37..40).for_each(|i| net.step(i, Input::Configured(Some(8))));
     for _ in 0..5 {
         amounts(&mut net);
         net.pass(S);
@@ -687,6 +687,10 @@
         .nodes
         .iter()
         .all(|n| n.reports.last().is_some_and(|(_, r)| r.everywhere() && r.version == 8)));
+    // Who reads a file that names none has none in force.
+    net.step(5, Input::Configured(None));
+    let clock = net.nodes[5].clock(net.now);
+    assert_eq!(net.nodes[5].spread.in_force(clock), None);
     // One of the release before says nothing of its configuration: so it is not known to have it.
     net.step(0, Input::Up(older, 5));
     let clock = net.nodes[0].clock(net.now);
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -219,11 +219,9 @@
         }
     }
 
-    /// The version of the configuration that is in force here from now on, where it names one.
+    /// The version of the configuration that is in force here from now on; `None`: it names none.
     pub async fn configured(&self, version: Option<u64>) {
-        if let Some(version) = version {
-            self.spread(spread::Input::Configured(version)).await;
-        }
+        self.spread(spread::Input::Configured(version)).await;
     }
 
     /// What an operator is shown, as JSON: who is there, what is known, and how far the configuration is in force.
