--- a/crates/lab/src/slopes/process.rs
+++ b/crates/lab/src/slopes/process.rs
@@ -45,7 +45,7 @@
             .enumerate()
             .map(|(shard, at)| {
                 let phase = if self.draining == Some(shard) { "draining" } else { "up" };
-                json!({"id": format!("s-{shard:08x}"), "host_port": at.to_string(), "locality": "caxias-sala",
+                json!({"id": format!("s-{shard:08x}"), "host_port": at.to_string(), "locality": "room-1",
                 "cell": shard, "phase": phase, "up_since_ms": 0})
             })
             .collect();
--- a/crates/lab/src/slopes/stand.rs
+++ b/crates/lab/src/slopes/stand.rs
@@ -135,7 +135,7 @@
     fn entry(&self, shard: usize) -> String {
         let phase = if self.draining == Some(shard) { "draining" } else { "up" };
         let at = self.addresses[shard];
-        format!(r#"{{"id":"s-{shard:08x}","host_port":"{at}","locality":"caxias-sala","flavor":"m2","#)
+        format!(r#"{{"id":"s-{shard:08x}","host_port":"{at}","locality":"room-1","flavor":"m2","#)
             + &format!(r#""cell":{shard},"#)
             + &format!(r#""phase":"{phase}","size":1.0,"up_since_ms":0}}"#)
     }
