--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,28 +1,15 @@
 //! The program as its users start it: sub-commands, a bad configuration, a planned stop.
 
+mod common;
+use common::program::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::process::{Child, Command, Output, Stdio};
-
-fn shaletack(args: &[&str]) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_shaletack"));
-    command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
-    for variable in ["NAME", "LISTEN", "DISCOVERY", "CONFIG", "MANAGEMENT", "FD"] {
-        command.env_remove(format!("ROUTER_{variable}"));
-    }
-    command
-}
+use std::process::{Command, Output, Stdio};
 
 fn run(args: &[&str]) -> Output {
     shaletack(args).output().unwrap()
 }
 
-fn file(name: &str, text: &str) -> String {
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, text).unwrap();
-    path.to_str().unwrap().to_owned()
-}
-
 fn config(listen: &str, seed: &str) -> String {
     format!(
         r#"{{"name":"n3","listen":"{listen}","discovery":"127.0.0.1:9","seed":"{seed}",
@@ -105,37 +92,6 @@
     }
 }
 
-/// Ends the program whatever becomes of the test.
-struct Running(Child);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-/// A field of a line of the log, in its text form.
-fn field(line: &str, name: &str) -> String {
-    let (_, rest) = line.split_once(&format!(" {name}=")).expect(line);
-    rest.split(' ').next().unwrap_or_default().trim_matches('"').to_owned()
-}
-
-impl Running {
-    /// Starts the program, and waits until it listens.
-    fn start(command: &mut Command) -> (Self, impl Iterator<Item = String>, String) {
-        let mut child = Running(command.spawn().unwrap());
-        let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
-        let line = lines.find(|l| l.contains(" listens for ")).expect("it says where");
-        let address = field(&line, "at");
-        (child, lines, address)
-    }
-
-    fn signal(&self, name: &str) {
-        assert!(Command::new("kill").args([name, &self.0.id().to_string()]).status().unwrap().success());
-    }
-}
-
 /// SIGHUP ended the process, which no handler waited for, and with it all that it had taken.
 #[test]
 fn a_hangup_moves_the_watch_to_where_the_new_file_says() {
@@ -372,24 +328,6 @@
     (child, told.into_iter().chain(lines), place)
 }
 
-/// One exchange: status, and whether the connection is kept.
-fn exchange(stream: &mut TcpStream, request: &str) -> (u16, bool) {
-    stream.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
-    stream.write_all(format!("{request} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes()).unwrap();
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        stream.read_exact(&mut byte).unwrap();
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8(head).unwrap().to_lowercase();
-    let length = head
-        .split_once("content-length: ")
-        .map_or(0, |(_, v)| v.split("\r\n").next().unwrap().parse().unwrap());
-    stream.read_exact(&mut vec![0; length]).unwrap();
-    (head[9..12].parse().unwrap(), !head.contains("connection: close"))
-}
-
 /// A second version could not bind what the first one holds; and it must know what operators told the first.
 #[test]
 fn a_new_version_takes_over_on_the_same_socket_and_knows_what_the_old_was_told() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,9 +1,12 @@
 //! A driver for one module alone: feeds events, keeps what it did.
 #![allow(dead_code)]
 
+pub mod faults;
 pub mod kept;
 pub mod net;
+pub mod platform;
 pub mod process;
+pub mod program;
 
 use shaletack::choice::Scheduler;
 use shaletack::interface::*;
