Starts of boxes are taken over by the clock that runs on

Cause: Clock::new read the wall clock once, and Heard::born took the list's Unix time for the core's: an hour ahead made each box that joins warm, an hour behind made it cold for ever, and a step of the clock that all machines read did the same in every process that ran. A start earlier than the one before (a clock set back) was no new start to Scheduler::on_line. Hand-over and an operator's give-back compared times of two clocks.

The first list is taken against the wall clock as it is then; what a followed list tells later against the starts heard before it, which bound the fleet's clock from below, so that no box is taken for older than it is. A step of this machine's wall clock, or an age that the list could not have hidden (15 s beyond its last word), voids that. Any other start is a new one. The legacy carries its time, and the successor goes on with it; a version before tells none, as before. NodeLine.start keeps the listed figure, by which hosts spread their first sends. An empty line of a watch is fed as Input::Current.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -7,6 +7,7 @@
 use crate::interface::{Effect as Repeat, *};
 use crate::members::{Member, Members};
 use crate::notice::Notice;
+use crate::starts::Starts;
 use crate::state::Learnt;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,8 @@
 const OLD_CLASSES: Duration = Duration::from_secs(5);
 /// Zones that the settings do not name are numbered from here on.
 const UNLISTED: u16 = 0x8000;
+/// The least span between two starts of one box.
+const NANO: Duration = Duration::from_nanos(1);
 /// Boxes are replaced by new ones all day; past so many names those that are gone are forgotten.
 const HEARD_MOST: usize = 4096;
 
@@ -94,6 +97,18 @@
     heard: BTreeMap<String, Heard>,
     drained: bool,
     learnt: Learnt,
+    /// Its time, which all of the above is told in; a version before this one says nothing of it.
+    #[serde(default)]
+    now: Option<Duration>,
+    #[serde(default)]
+    starts: Starts,
+}
+
+impl Legacy {
+    /// The clock of the process that left it, which had this reading at that moment.
+    pub fn clock(&self, at: Instant) -> Option<Clock> {
+        self.now.map(|now| Clock::new(at, now))
+    }
 }
 
 /// How far an attempt is.
@@ -122,6 +137,8 @@
     Left(RequestId),
     /// News of the disk boxes.
     List(Members),
+    /// This machine's wall clock shows this, as Unix time. It may be stepped at any time.
+    WallClock(Duration),
     /// Settings to be used from now on; what was taken keeps the rules it came under.
     Settings(Box<Settings>),
     /// What an operator asks for.
@@ -198,25 +215,26 @@
     pub left: u64,
 }
 
-/// The scheduler's clock: Unix time, read once and then carried on by a clock that never goes back.
+/// The core's clock. It begins at any time, runs on by a clock that is never stepped, and is no wall clock: what is told
+/// in Unix time is taken over by [`Starts`].
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     anchor: Instant,
-    unix: Duration,
+    begins: Duration,
 }
 
 impl Clock {
-    /// At `anchor` it is `unix`.
-    pub fn new(anchor: Instant, unix: Duration) -> Self {
-        Clock { anchor, unix }
+    /// At `anchor` it shows `begins`.
+    pub fn new(anchor: Instant, begins: Duration) -> Self {
+        Clock { anchor, begins }
     }
 
     fn time(&self, at: Instant) -> Duration {
-        self.unix + at.saturating_duration_since(self.anchor)
+        self.begins + at.saturating_duration_since(self.anchor)
     }
 
     fn instant(&self, at: Duration) -> Instant {
-        self.anchor + at.saturating_sub(self.unix)
+        self.anchor + at.saturating_sub(self.begins)
     }
 }
 
@@ -245,22 +263,34 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Heard {
     member: Member,
+    /// When it last started, by the core's clock; `None`: long ago.
+    #[serde(default)]
+    started: Option<Duration>,
+    /// It did not start before this.
+    #[serde(default)]
+    earliest: Duration,
     suspended: bool,
-    /// When it was last taken out, and given back. What the list says of a start after the first is the start that
-    /// operators gave it; until it says so, it counts as started at the second.
+    /// When it was last taken out, and given back. A start that is surely after the first is the start that operators
+    /// gave it; until the list tells of one, it counts as started at the second.
     out: Duration,
     back: Duration,
 }
 
 impl Heard {
     fn born(&self) -> Duration {
-        let listed = self.member.up_since.unwrap_or_default();
-        if listed > self.out {
+        let listed = self.started.unwrap_or_default();
+        if self.earliest > self.out {
             listed
         } else {
             listed.max(self.back)
         }
     }
+
+    /// A number for that start that is the same at every initiator, where the list tells of it; else 0.
+    fn start(&self) -> u64 {
+        let listed = self.member.up_since.filter(|_| self.started == Some(self.born()));
+        listed.map_or(0, |listed| listed.as_nanos() as u64)
+    }
 }
 
 /// The state of one initiator.
@@ -280,6 +310,7 @@
     revision: u64,
     /// Nothing new goes to any box: each may have begun to drain.
     stale: bool,
+    starts: Starts,
     tallies: Vec<(String, Tally)>,
     told_at: Duration,
     ends: BTreeMap<String, u64>,
@@ -305,6 +336,7 @@
             drained: None,
             revision: 0,
             stale: false,
+            starts: Starts::default(),
             told_at: at,
             ends: BTreeMap::new(),
             peers: None,
@@ -368,11 +400,17 @@
             }
             Input::List(members) => {
                 let dated = members.kind != ListKind::Cached;
-                events.push(self.listed(members, &mut effects));
+                let latest = members.entries.iter().filter_map(|member| member.up_since).max();
+                events.push(self.listed(at, members, &mut effects));
+                if dated {
+                    self.starts.heard(at, latest);
+                }
                 self.peers.iter_mut().filter(|_| dated).for_each(|peers| peers.listed(at));
                 review = true;
             }
+            Input::WallClock(shown) => self.starts.read_wall_clock(at, shown),
             Input::Current => {
+                self.starts.heard(at, None);
                 self.peers.iter_mut().for_each(|peers| peers.listed(at));
                 review = true;
             }
@@ -687,9 +725,11 @@
     }
 
     /// What this core leaves to a process that gets such a part of its budgets.
-    pub fn legacy(&self, part: f64) -> Legacy {
+    pub fn legacy(&self, now: Instant, part: f64) -> Legacy {
+        let at = self.clock.time(now);
         let (revision, heard, drained) = (self.revision, self.heard.clone(), self.drained.is_some());
-        Legacy { revision, heard, drained, learnt: self.scheduler.learnt(part) }
+        let (now, starts) = (Some(at), self.starts.clone());
+        Legacy { revision, heard, drained, learnt: self.scheduler.learnt(part), now, starts }
     }
 
     /// The predecessor heard of the list later than the configuration did, and knows what operators asked.
@@ -703,8 +743,15 @@
             drained: legacy.drained,
         }));
         self.heard = legacy.heard;
+        // A version before this one told in Unix time, as this process's clock began.
+        let told = self.heard.values_mut().filter(|heard| heard.started.is_none());
+        told.for_each(|heard| {
+            heard.started = heard.member.up_since.map(|listed| listed.min(at));
+            heard.earliest = heard.started.unwrap_or_default();
+        });
+        self.starts = legacy.starts;
         self.drained = legacy.drained.then_some(at);
-        let list = self.listed(members, effects);
+        let list = self.listed(at, members, effects);
         self.scheduler.step(at, &[list], &mut Vec::new());
         self.scheduler.inherit(legacy.learnt);
         vec![Event::Part(part)]
@@ -752,6 +799,7 @@
             shard: member.shard,
             readiness: if out { Readiness::Draining } else { member.readiness },
             born: heard.born().max(advice.born.unwrap_or_default()),
+            start: heard.start(),
         })
     }
 
@@ -763,7 +811,7 @@
         named.map_or_else(|| UNLISTED | hash(name) as u16, |number| number as u16)
     }
 
-    fn listed(&mut self, members: Members, effects: &mut Vec<Effect>) -> Event {
+    fn listed(&mut self, at: Duration, members: Members, effects: &mut Vec<Effect>) -> Event {
         self.revision = members.revision;
         if members.kind != ListKind::Changes {
             self.names.clear();
@@ -784,13 +832,7 @@
                 let (revision, kind, member) = (members.revision, members.kind, member.clone());
                 effects.push(Effect::Log(Notice::Listed { revision, kind, member }));
             }
-            let heard = self.heard.entry(member.id.clone());
-            heard.and_modify(|h| h.member = member.clone()).or_insert_with(|| Heard {
-                member: member.clone(),
-                suspended: false,
-                out: Duration::ZERO,
-                back: Duration::ZERO,
-            });
+            self.hear_of(at, member);
             lines.extend(self.line(&member.id));
         }
         if self.heard.len() > HEARD_MOST {
@@ -799,6 +841,27 @@
         Event::List { kind: members.kind, lines }
     }
 
+    /// Takes the list's word on one box. A start is taken over when it is first heard, and every other one is a new start:
+    /// the clock that it is told by may have been set back.
+    fn hear_of(&mut self, at: Duration, member: &Member) {
+        let listed = member.up_since.map(|listed| self.starts.started_at(at, listed));
+        let earliest = self.starts.earliest(at);
+        let heard = self.heard.entry(member.id.clone()).or_insert_with(|| Heard {
+            member: member.clone(),
+            started: None,
+            earliest: Duration::ZERO,
+            suspended: false,
+            out: Duration::ZERO,
+            back: Duration::ZERO,
+        });
+        if heard.started.is_none() || heard.member.up_since != member.up_since {
+            let before = heard.started.unwrap_or_default();
+            heard.started = listed.map(|started| started.max(before + NANO));
+            heard.earliest = earliest;
+        }
+        heard.member = member.clone();
+    }
+
     /// Carries out one action; what it brings back at once is an event for the next round.
     fn act(&mut self, at: Duration, action: Action, effects: &mut Vec<Effect>) -> Option<Event> {
         match action {
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -157,7 +157,8 @@
     }
 
     fn on_line(&mut self, line: &NodeLine) {
-        let saved = self.first_saved(line.node, line.born);
+        let start = if line.start > 0 { line.start } else { line.born.as_nanos() as u64 };
+        let saved = self.first_saved(line.node, line.born, start);
         let node = self.nodes.entry(line.node).or_insert(Node { window: WINDOW_TOP, ..Node::default() });
         node.zone = line.zone;
         node.shard = line.shard;
@@ -526,7 +527,10 @@
     /// Health: the window halves on what went wrong or late, and grows per round trip otherwise.
     fn judge(&mut self, id: NodeId, a: &Attempt, units: f64) {
         let (now, aim, warm_up) = (self.now, self.set.shortest_aim(), self.set.rules.warm_up);
-        let (thin, saved) = (self.bears() / self.rivals() < self.set.units_top, self.first_saved(id, now));
+        let (thin, saved) = (
+            self.bears() / self.rivals() < self.set.units_top,
+            self.first_saved(id, now, now.as_nanos() as u64),
+        );
         let unreached = Some(self.set.connect_timeout).filter(|t| !t.is_zero()).unwrap_or(FOREVER);
         let Some(node) = self.nodes.get_mut(&id) else { return };
         // What a cold node has done in time it can do again within a fall window, whoever's turn it is.
@@ -932,8 +936,8 @@
 
     /// What a host has saved when a node starts, as if it had saved for long: hosts that run then have
     /// amounts spread evenly over them, so that their first sends follow each other; later ones draw.
-    fn first_saved(&self, id: NodeId, born: Duration) -> Bucket {
-        let start = u64::from(id) ^ born.as_nanos() as u64;
+    fn first_saved(&self, id: NodeId, born: Duration, start: u64) -> Bucket {
+        let start = u64::from(id) ^ start;
         let drawn = |from: u64| (scramble(from) % (1 << 20)) as f64 / f64::from(1 << 20);
         let even = f64::from(self.set.rank) / f64::from(self.set.hosts.max(1)) + drawn(start);
         let part = if self.started <= born { even.fract() } else { REBORN * drawn(self.seed ^ start) };
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -281,6 +281,8 @@
     pub readiness: Readiness,
     /// When it last started; 0: long ago.
     pub born: Duration,
+    /// A number for that start that is the same at every host; 0: `born` is.
+    pub start: u64,
 }
 
 /// What a report on the list of nodes holds.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod memo;
 pub mod notice;
 pub mod settings;
+pub mod starts;
 mod state;
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,7 @@
 use shaletack::members::Members;
 use shaletack::nbd;
 use shaletack::net::front::{self, Traces};
-use shaletack::net::handover::{self, Identity, Link, Will};
+use shaletack::net::handover::{self, Identity, Inheritance, Link, Will};
 use shaletack::net::{boxes, management, watch};
 use shaletack::operator::{self, Operator};
 use shaletack::peers::{self, Peers};
@@ -25,8 +25,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Instant, SystemTime};
-use tokio::io::BufReader;
-use tokio::net::{TcpListener, UnixStream};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tracing::level_filters::LevelFilter;
 use tracing::{info, warn};
@@ -227,10 +226,14 @@
     operator::read(&mut text).map_err(|faults| each(faults).join("\n"))
 }
 
-fn start(settings: Settings, seed: u64, among: Option<Observer>) -> Host {
+/// The core's clock, where it goes on from nobody's: any beginning does, and versions before this one had this one.
+fn fresh_clock() -> Clock {
     let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    let now = Instant::now();
-    let broker = Broker::new(settings, seed, Clock::new(now, unix), now);
+    Clock::new(Instant::now(), unix)
+}
+
+fn start(settings: Settings, seed: u64, clock: Clock, among: Option<Observer>) -> Host {
+    let broker = Broker::new(settings, seed, clock, Instant::now());
     Host::start(match among {
         Some(me) => broker.among_peers(me),
         None => broker,
@@ -258,7 +261,8 @@
 async fn run_nbd(operator: Operator, file: String) -> Result<(), String> {
     let (mut term, hangup) = signals()?;
     let me = operator.peers.as_ref().map(peers::observer);
-    let host = start(operator.settings.clone(), RandomState::new().build_hasher().finish(), me.clone());
+    let seed = RandomState::new().build_hasher().finish();
+    let host = start(operator.settings.clone(), seed, fresh_clock(), me.clone());
     host.feed(Input::List(operator.boxes.clone()));
     let follow = |host: Host, etcd| actix_rt::spawn(etcd::follow(host, etcd)).abort_handle();
     let mut list = operator.etcd.clone();
@@ -338,7 +342,7 @@
     };
     let (config, file) = match (loaded, &heir) {
         // The predecessor turned such a file down, and serves by the one before.
-        (Err(fault), Some((will, _))) => {
+        (Err(fault), Some(Inheritance { will, .. })) => {
             warn!(why = %fault, "the new configuration is not used; the predecessor's is");
             let config = config::read(&mut will.text.clone().into_bytes(), |name| std::env::var(name).ok())?;
             (config, file.or_else(|| std::env::var("ROUTER_CONFIG").ok()).ok_or(fault)?)
@@ -354,7 +358,7 @@
     (mut term, hangup): (Signal, Signal),
     held: Option<std::net::TcpListener>,
     me: Option<Identity>,
-    heir: Option<(Will, BufReader<UnixStream>)>,
+    heir: Option<Inheritance>,
 ) -> Result<(), String> {
     let Config {
         name,
@@ -369,7 +373,8 @@
         settings,
         text,
     } = config;
-    let host = start(settings, seed, None);
+    let inherited = heir.as_ref().and_then(|heir| heir.will.legacy.clock(heir.received));
+    let host = start(settings, seed, inherited.unwrap_or_else(fresh_clock), None);
     info!(name, boxes = known.entries.len(), revision = known.revision, "starts");
     passed_over.iter().for_each(|why| warn!(%why, "an entry of the list is passed over"));
     host.feed(Input::List(known));
@@ -378,7 +383,7 @@
     let me = me.unwrap_or_else(|| Identity { name: name.clone(), clients: listen });
     let link = Link::new(host.clone(), me, &std::env::temp_dir());
     let (traces, ready) = (Rc::new(RefCell::new(Traces::default())), Rc::new(Cell::new(false)));
-    if let Some((will, stream)) = heir {
+    if let Some(Inheritance { will, stream, .. }) = heir {
         host.feed(Input::Inherit(Box::new(will.legacy), handover::HALF));
         traces.borrow_mut().inherit(will.traces);
         link.keep(stream);
@@ -430,7 +435,7 @@
     };
     let (core, ids) = (host.clone(), traces.clone());
     let will = move || Will {
-        legacy: core.look(|broker| broker.legacy(handover::HALF)),
+        legacy: core.look(|broker| broker.legacy(Instant::now(), handover::HALF)),
         traces: ids.borrow().all(),
         text: String::from_utf8_lossy(&text.borrow()).into_owned(),
     };
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -13,7 +13,7 @@
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -97,6 +97,17 @@
     pub text: String,
 }
 
+/// What a successor is given.
+#[derive(Debug)]
+pub struct Inheritance {
+    /// What the predecessor left.
+    pub will: Will,
+    /// When that came: its times are told by the predecessor's clock.
+    pub received: Instant,
+    /// The connection, for [`Link::keep`].
+    pub stream: BufReader<UnixStream>,
+}
+
 /// What goes over the link, each in a line of its own.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
@@ -131,14 +142,16 @@
 ///
 /// # Errors
 /// Two versions serve already, and go on doing so.
-pub async fn ask(me: &Identity, folder: &Path) -> Result<Option<(Will, BufReader<UnixStream>)>, NoPlace> {
+pub async fn ask(me: &Identity, folder: &Path) -> Result<Option<Inheritance>, NoPlace> {
     let start = tokio::time::Instant::now();
     let mut waits = false;
     loop {
         let asked = tokio::time::timeout(ANSWERED, ask_once(me, &me.socket(folder))).await;
         match asked {
             Ok(None) => return Ok(None),
-            Ok(Some((Reply::Will(will), stream))) => return Ok(Some((*will, stream))),
+            Ok(Some((Reply::Will(will), stream))) => {
+                return Ok(Some(Inheritance { will: *will, received: Instant::now(), stream }))
+            }
             Ok(Some((Reply::Refused(why), _))) => {
                 warn!(%why, "the predecessor gives nothing; this process goes on without its will");
                 return Ok(None);
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -165,15 +165,12 @@
                 Ok(Err(why)) => return (Over::Broke, why.to_string()),
                 Err(_) => return (Over::GivenUp, "a head and nothing behind it".into()),
             };
-            if let Some(mut text) = object {
-                match members::read(&mut text) {
-                    Ok((members, faults)) => {
-                        faults.iter().for_each(|why| warn!(%why, "an entry of the list is passed over"));
-                        if let Err(why) = self.take(members) {
-                            return (Over::Broke, why);
-                        }
+            match object {
+                None => self.host.feed(Input::Current),
+                Some(mut text) => {
+                    if let Err(why) = self.read(&mut text) {
+                        return (Over::Broke, why);
                     }
-                    Err(fault) => return (Over::Broke, format!("unreadable: {fault}")),
                 }
             }
             if self.heard.stale.replace(false) {
@@ -185,6 +182,12 @@
         }
     }
 
+    fn read(&self, text: &mut [u8]) -> Result<(), String> {
+        let (members, faults) = members::read(text).map_err(|fault| format!("unreadable: {fault}"))?;
+        faults.iter().for_each(|why| warn!(%why, "an entry of the list is passed over"));
+        self.take(members)
+    }
+
     /// Two watches may be open while discovery moves, and the newer may lag: what is older than what is known is none
     /// of its news.
     fn take(&self, members: Members) -> Result<(), String> {
--- a/src/runtime/host.rs
+++ b/src/runtime/host.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::AbortHandle;
 
@@ -70,6 +70,15 @@
         if let Input::Part(part) | Input::Inherit(_, part) = &input {
             self.0.part.set(*part);
         }
+        if let Input::List(_) = &input {
+            // Starts of boxes are told in Unix time.
+            let shown = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+            self.carry_out(Input::WallClock(shown));
+        }
+        self.carry_out(input);
+    }
+
+    fn carry_out(&self, input: Input) {
         let effects = self.0.broker.borrow_mut().step(Instant::now(), input);
         for effect in effects {
             match effect {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -272,6 +272,7 @@
             code => return fault(format!("{code} is not a node's readiness")),
         },
         born: line.span(15),
+        start: 0,
     })
 }
 
