--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -301,33 +301,6 @@
     }
 }
 
-/// Starts a version of the program on a clients' socket that the test holds, as the platform does.
-fn version(
-    held: &TcpListener,
-    folder: &std::path::Path,
-    config: &str,
-) -> (Running, impl Iterator<Item = String>, String) {
-    // The shell hands its standard input on as the first descriptor beside the usual three.
-    let mut command = Command::new("/bin/sh");
-    let held: std::os::fd::OwnedFd = held.try_clone().unwrap().into();
-    command.args([
-        "-c",
-        "exec 3<&0 </dev/null; exec \"$0\" \"$@\"",
-        env!("CARGO_BIN_EXE_shaletack"),
-        "--config",
-    ]);
-    command.arg(config).env("ROUTER_FD", "3").env("TMPDIR", folder).env("ROUTER_MANAGEMENT", "127.0.0.1:0");
-    command.env("ROUTER_NAME", "n3").stdin(Stdio::from(held)).stdout(Stdio::null()).stderr(Stdio::piped());
-    let mut child = Running(command.spawn().unwrap());
-    let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
-    let mut told = Vec::new();
-    while !told.last().is_some_and(|l: &String| l.contains(" operators' calls are taken ")) {
-        told.push(lines.next().expect("it says where"));
-    }
-    let place = field(&told.pop().unwrap(), "at");
-    (child, told.into_iter().chain(lines), place)
-}
-
 /// A second version could not bind what the first one holds; and it must know what operators told the first.
 #[test]
 fn a_new_version_takes_over_on_the_same_socket_and_knows_what_the_old_was_told() {
@@ -343,27 +316,27 @@
     let call = |at: &str, call: &str| exchange(&mut TcpStream::connect(at).unwrap(), call).0;
     let ready = |at: &str| while call(at, "GET /v1/readyz") != 200 {};
     let health = |client: &mut TcpStream| exchange(client, "GET /_health");
-    let (mut old, mut old_lines, old_place) = version(&held, &folder, &good);
+    let (mut old, mut old_lines, old_place) = version(&held, &folder, &good, None);
     ready(&old_place);
     let mut kept = TcpStream::connect(place).unwrap();
     assert_eq!(health(&mut kept), (200, true));
     assert_eq!(call(&old_place, "POST /v1/targets/s-5be2a07c/suspend"), 200);
     // Another customer's initiator of that name, on a socket of its own, shares and inherits nothing.
     let elsewhere = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (_other, mut other_lines, other_place) = version(&elsewhere, &folder, &good);
+    let (_other, mut other_lines, other_place) = version(&elsewhere, &folder, &good, None);
     ready(&other_place);
     let told: Vec<String> = other_lines.by_ref().take_while(|l| !l.contains(" listens for ")).collect();
     assert!(!told.iter().any(|l| l.contains(" inherited ")), "{told:?}");
     assert_eq!(call(&other_place, "POST /v1/initiator/drain"), 200);
     assert_eq!(health(&mut kept), (200, true));
     // One that dies early leaves the old one serving, and found by the next.
-    let (dies, _, early) = version(&held, &folder, &good);
+    let (dies, _, early) = version(&held, &folder, &good, None);
     ready(&early);
     drop(dies);
     assert!(old_lines.any(|l| l.contains(" the other process is gone")));
     // What the old one turned down at SIGHUP must not stop the new one.
     let cut = file("over-cut.json", "{\"name\":");
-    let (_new, mut lines, new_place) = version(&held, &folder, &cut);
+    let (_new, mut lines, new_place) = version(&held, &folder, &cut, None);
     ready(&new_place);
     let inherited = lines.by_ref().take(60).find(|l| l.contains(" inherited ")).unwrap();
     assert!(inherited.ends_with("boxes=1 revision=41 suspended=1 drained=false"), "{inherited}");
--- a/tests/common/faults.c
+++ b/tests/common/faults.c
@@ -94,11 +94,19 @@
   return fstat(file, &about) == 0 && S_ISREG(about.st_mode);
 }
 
-/* What every transfer over a socket may meet; the bytes that it is left with. */
-static ssize_t transfer(int socket, size_t length) {
-  if (!is_stream(socket)) return length;
-  if (fails(INTERRUPT, FAILURES(EINTR))) return -1;
-  return length > 1 && strikes(SHORT) ? (ssize_t)(1 + draw() % (length - 1)) : (ssize_t)length;
+static int is_interrupted(int socket) {
+  return is_stream(socket) && fails(INTERRUPT, FAILURES(EINTR));
+}
+
+/* The system transfers a part where there is no room for more: a socket with the least buffers. */
+static int with_little_room(int socket) {
+  int least = 1, kept = errno;
+  if (socket >= 0 && strikes(SHORT)) {
+    setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &least, sizeof(least));
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &least, sizeof(least));
+  }
+  errno = kept;
+  return socket;
 }
 
 static void hold_up(int socket) {
@@ -108,12 +116,12 @@
 
 int accept4(int socket, struct sockaddr *at, socklen_t *length, int flags) {
   if (fails(ACCEPT, FAILURES(ECONNABORTED, ENFILE, ENOBUFS, EMFILE, EINTR, ENOMEM, EPROTO))) return -1;
-  return REAL(accept4)(socket, at, length, flags);
+  return with_little_room(REAL(accept4)(socket, at, length, flags));
 }
 
 int socket(int domain, int type, int protocol) {
   if (fails(SOCKET, FAILURES(ENFILE, ENOBUFS, EMFILE, ENOMEM))) return -1;
-  return REAL(socket)(domain, type, protocol);
+  return with_little_room(REAL(socket)(domain, type, protocol));
 }
 
 int connect(int socket, const struct sockaddr *to, socklen_t length) {
@@ -122,20 +130,17 @@
 }
 
 ssize_t recv(int socket, void *bytes, size_t length, int flags) {
-  ssize_t left = transfer(socket, length);
-  return left < 0 ? -1 : REAL(recv)(socket, bytes, left, flags);
+  return is_interrupted(socket) ? -1 : REAL(recv)(socket, bytes, length, flags);
 }
 
 ssize_t send(int socket, const void *bytes, size_t length, int flags) {
   hold_up(socket);
-  ssize_t left = transfer(socket, length);
-  return left < 0 ? -1 : REAL(send)(socket, bytes, left, flags);
+  return is_interrupted(socket) ? -1 : REAL(send)(socket, bytes, length, flags);
 }
 
 ssize_t writev(int socket, const struct iovec *parts, int count) {
   hold_up(socket);
-  if (transfer(socket, 1) < 0) return -1;
-  return REAL(writev)(socket, parts, count);
+  return is_interrupted(socket) ? -1 : REAL(writev)(socket, parts, count);
 }
 
 ssize_t pwrite64(int file, const void *bytes, size_t length, off64_t at) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod platform;
 pub mod process;
 pub mod program;
+pub mod traffic;
 
 use shaletack::choice::Scheduler;
 use shaletack::interface::*;
--- a/tests/common/platform.rs
+++ b/tests/common/platform.rs
@@ -15,6 +15,13 @@
     pub head: String,
 }
 
+impl Arrival {
+    /// Which request it is.
+    pub fn trace(&self) -> &str {
+        header_of(&self.head, "x-trace-id").unwrap_or_default()
+    }
+}
+
 /// A header's value.
 pub fn header_of<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     let mut lines = head.lines().filter_map(|line| line.split_once(':'));
@@ -35,7 +42,12 @@
     Some((head, body))
 }
 
-/// A box that answers each request with its trace id, unless it hangs.
+/// What a box answers a request with: one in 16 answers is long.
+pub fn answer_to(trace: &str) -> String {
+    trace.repeat(if trace.ends_with('7') { 2000 } else { 1 })
+}
+
+/// A box that answers each request in its own words, unless it hangs.
 pub struct StandInBox {
     pub address: SocketAddr,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
@@ -89,7 +101,8 @@
             return None;
         }
         std::thread::sleep(takes);
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{trace}", trace.len());
+        let body = answer_to(&trace);
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         stream.get_mut().write_all(answer.as_bytes()).ok()?;
     }
 }
@@ -178,6 +191,13 @@
     Silent,
 }
 
+impl Ending {
+    /// Whether the connection goes on.
+    pub fn keeps(&self) -> bool {
+        matches!(self, Ending::Answered { kept: true, .. })
+    }
+}
+
 /// A client's connection.
 pub struct Client(BufReader<TcpStream>);
 
--- a/tests/common/program.rs
+++ b/tests/common/program.rs
@@ -1,7 +1,8 @@
 //! The program as its users start it, with blocking clients.
 
+use super::faults::Faults;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 
 /// The program with these arguments, and nothing of the environment's word.
@@ -70,3 +71,34 @@
     stream.read_exact(&mut vec![0; length]).unwrap();
     (head[9..12].parse().unwrap(), !head.contains("connection: close"))
 }
+
+/// Starts a version of the program on a clients' socket that the test holds, as the platform does.
+pub fn version(
+    held: &TcpListener,
+    folder: &std::path::Path,
+    config: &str,
+    faults: Option<&Faults>,
+) -> (Running, impl Iterator<Item = String>, String) {
+    // The shell hands its standard input on as the first descriptor beside the usual three.
+    let mut command = Command::new("/bin/sh");
+    let held: std::os::fd::OwnedFd = held.try_clone().unwrap().into();
+    command.args([
+        "-c",
+        "exec 3<&0 </dev/null; exec \"$0\" \"$@\"",
+        env!("CARGO_BIN_EXE_shaletack"),
+        "--config",
+    ]);
+    command.arg(config).env("ROUTER_FD", "3").env("TMPDIR", folder).env("ROUTER_MANAGEMENT", "127.0.0.1:0");
+    command.env("ROUTER_NAME", "n3").stdin(Stdio::from(held)).stdout(Stdio::null()).stderr(Stdio::piped());
+    if let Some(faults) = faults {
+        faults.on(&mut command);
+    }
+    let mut child = Running(command.spawn().unwrap());
+    let mut lines = BufReader::new(child.0.stderr.take().unwrap()).lines().map(|l| l.unwrap());
+    let mut told = Vec::new();
+    while !told.last().is_some_and(|l: &String| l.contains(" operators' calls are taken ")) {
+        told.push(lines.next().expect("it says where"));
+    }
+    let place = field(&told.pop().unwrap(), "at");
+    (child, told.into_iter().chain(lines), place)
+}
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -4,7 +4,9 @@
 use common::faults::Faults;
 use common::platform::*;
 use common::program::*;
-use std::net::SocketAddr;
+use common::traffic::{self, traffic};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -116,3 +118,121 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// A stand-in platform of a few boxes, and one process among them whose system calls may fail.
+struct Site {
+    boxes: Vec<StandInBox>,
+    _agent: StandInAgent,
+    _faults: Faults,
+    child: Running,
+    lines: Box<dyn Iterator<Item = String>>,
+    at: SocketAddr,
+}
+
+impl Site {
+    /// One box for each shard, each answer taking so long; requests wait so long at the most.
+    fn start(name: &str, shards: u16, takes: Duration, deadline_ms: u64, plan: &str) -> Self {
+        let boxes: Vec<_> = (0..shards).map(|_| StandInBox::start(takes)).collect();
+        let listed = |(cell, stand_in): (usize, &StandInBox)| {
+            entry(&format!("s-{:08x}", cell + 1), stand_in.address, cell as u16, "up", 0)
+        };
+        let entries: Vec<String> = boxes.iter().enumerate().map(listed).collect();
+        let agent = StandInAgent::start(&entries);
+        let faults = Faults::new(name, plan);
+        let domain = r#""unit-mean":1,"units-top":1,"shards":4,"changes-data":[false,true]"#;
+        let text = configuration(agent.address, deadline_ms, domain, r#""stop-sending-within":1000000000"#);
+        let (child, lines, at) = start(name, &text, &faults);
+        Site { boxes, _agent: agent, _faults: faults, child, lines, at }
+    }
+
+    /// How often each request came to a box, by its trace id.
+    fn arrivals(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for stand_in in &self.boxes {
+            for arrival in stand_in.arrivals.lock().unwrap().iter() {
+                *counts.entry(arrival.trace().to_owned()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Nothing lost, nothing foreign, no write twice, none refused that ran.
+    fn is_kept(&self, outcomes: &traffic::Outcomes) {
+        let arrivals = self.arrivals();
+        assert!(outcomes.lost.is_empty(), "{:?}", &outcomes.lost);
+        assert_eq!(outcomes.foreign, 0);
+        let twice = |trace: &&String| arrivals.get(*trace).is_some_and(|count| *count > 1);
+        assert_eq!(outcomes.writes.iter().filter(twice).count(), 0, "written twice");
+        let ran = |trace: &&String| arrivals.contains_key(*trace);
+        assert_eq!(outcomes.refused_writes.iter().filter(ran).count(), 0, "refused, and it ran");
+    }
+}
+
+/// Interrupted calls, and transfers of a part of what was asked for, are no end of a connection.
+#[test]
+fn interrupted_and_short_transfers_end_nothing() {
+    let mut site = Site::start("interrupted", 4, Duration::from_millis(3), 1000, "interrupt 20\nshort 100\n");
+    let outcomes = traffic(site.at, 12, 4, SECOND, 4 * SECOND);
+    site.is_kept(&outcomes);
+    assert!(outcomes.served > 1000, "{outcomes:?}");
+    assert_eq!((outcomes.refused, outcomes.failed_reads, outcomes.failed_writes), (0, 0, 0));
+    site.child.signal("-TERM");
+    let told: Vec<String> =
+        site.lines.by_ref().filter(|line| line.contains("the watch of the list ended")).collect();
+    assert!(told.is_empty(), "{told:?}");
+    assert!(site.child.0.wait().unwrap().success());
+}
+
+/// Calls for new sockets and connections fail for a moment, and boxes are slow: each request has its one answer.
+#[test]
+fn calls_that_fail_for_a_moment_lose_nothing() {
+    let plan = "accept 300\nsocket 100\nconnect 100\ninterrupt 20\nshort 100\n";
+    let site = Site::start("moments", 4, Duration::from_millis(3), 1000, plan);
+    let outcomes = traffic(site.at, 12, 4, SECOND, 4 * SECOND);
+    site.is_kept(&outcomes);
+    assert!(outcomes.served > 500, "{outcomes:?}");
+}
+
+/// One version after another takes over while accepting fails for a moment again and again, in all of them and at every
+/// address: each is ready soon and knows what the one before knew, and clients lose nothing.
+#[test]
+fn a_new_version_takes_over_while_accepting_fails_for_a_moment() {
+    const PLAN: &str = "accept 600\n";
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let place = held.local_addr().unwrap();
+    let boxes: Vec<_> = (0..2).map(|_| StandInBox::start(Duration::from_millis(3))).collect();
+    let listed = |cell: usize| entry(&format!("s-{cell:08x}"), boxes[cell].address, cell as u16, "up", 0);
+    let agent = StandInAgent::start(&[listed(0), listed(1)]);
+    let domain = r#""unit-mean":1,"units-top":1,"shards":2,"changes-data":[false,true]"#;
+    let path = file("accepts.json", &configuration(agent.address, 500, domain, ""));
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("accepts-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let faults = Faults::new("accepts", PLAN);
+    let ready = |at: &str| {
+        let start = Instant::now();
+        while exchange(&mut TcpStream::connect(at).unwrap(), "GET /v1/readyz").0 != 200 {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        start.elapsed()
+    };
+    let (mut old, mut old_lines, old_place) = version(&held, &folder, &path, Some(&faults));
+    ready(&old_place);
+    let clients = std::thread::spawn(move || traffic(place, 6, 2, SECOND / 2, 20 * SECOND));
+    for round in 0..8 {
+        let start = Instant::now();
+        let (new, mut lines, new_place) = version(&held, &folder, &path, Some(&faults));
+        ready(&new_place);
+        assert!(start.elapsed() < 6 * SECOND, "round {round}: ready after {:?}", start.elapsed());
+        let told: Vec<String> = lines.by_ref().take_while(|line| !line.contains(" listens for ")).collect();
+        assert!(told.iter().any(|line| line.contains(" inherited ")), "round {round}: {told:?}");
+        old.signal("-TERM");
+        assert!(old.0.wait().unwrap().success());
+        let last: Vec<String> = old_lines.collect();
+        assert!(last.iter().any(|line| line.contains(" a successor takes over ")), "round {round}: {last:?}");
+        (old, old_lines) = (new, lines);
+    }
+    let outcomes = clients.join().unwrap();
+    assert!(outcomes.lost.is_empty(), "{:?}", outcomes.lost);
+    assert!(outcomes.served > 1000 && outcomes.foreign == 0, "{outcomes:?}");
+}
