A stop leaves time before the earliest kill, and does not wait for clients that stay

Cause: a process waited 2.1 s for each client that keeps its half, past the earliest kill where deadlines are short (1.0 s for 0.3 s), and closed resting connections 0.55 s after SIGTERM, which left 0.15 s less what a busy machine takes.

--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -5,6 +5,7 @@
 
 use crate::runtime::gate::Closing;
 use crate::runtime::host::Host;
+use crate::runtime::sockets::Uninterrupted;
 use futures_util::FutureExt;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -32,8 +33,9 @@
 /// connection would fill it, and requests of others would find none.
 const IDLE: [(f64, Duration); 3] =
     [(0.4, Duration::from_millis(300)), (0.25, Duration::from_millis(2100)), (0.0, Duration::from_secs(20))];
-/// What still comes behind a last answer is read for so long.
+/// What still comes behind a last answer is read for so long; at a stop, which is to end before a kill, for so long.
 const LEAVING: Duration = Duration::from_millis(2100);
+const LEAVING_AT_STOP: Duration = Duration::from_millis(300);
 /// Where no place is left, others wait unheard: those that are silent or idle have only so long, and one on
 /// whose request nothing comes has the third.
 const FULL: (Duration, Duration, Duration) =
@@ -89,7 +91,7 @@
     ends: Cell<bool>,
     /// More came ahead of an answer than is kept.
     floods: Cell<bool>,
-    socket: Weak<RefCell<TcpStream>>,
+    socket: Weak<RefCell<Uninterrupted<TcpStream>>>,
 }
 
 impl Line {
@@ -153,7 +155,7 @@
     fn is_left(&self) -> bool {
         let Some(socket) = self.socket.upgrade() else { return false };
         let socket = socket.borrow();
-        let ready = socket.ready(Interest::READABLE).now_or_never();
+        let ready = socket.0.ready(Interest::READABLE).now_or_never();
         ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
     }
 
@@ -180,7 +182,7 @@
         self.stage.get() == Stage::Idle && now.saturating_duration_since(self.since.get()) > most
     }
 
-    fn is_over(&self, now: Instant, full: bool) -> bool {
+    fn is_over(&self, now: Instant, full: bool, stops: bool) -> bool {
         let most = match self.stage.get() {
             Stage::Fresh if full => FULL.0,
             Stage::Fresh => FIRST_BYTE,
@@ -190,6 +192,7 @@
             }
             Stage::Head => WHOLE_HEAD,
             Stage::Body => BODY_BEHIND + Duration::from_secs_f64(self.bytes.get() as f64 / BODY_RATE),
+            Stage::Leaving if stops => LEAVING_AT_STOP,
             Stage::Leaving => LEAVING,
             Stage::Idle | Stage::Taken | Stage::Moving => return false,
         };
@@ -204,7 +207,7 @@
 impl Crowd {
     /// A connection that was just accepted.
     pub fn join(&self, socket: TcpStream) -> ClientStream {
-        let socket = Rc::new(RefCell::new(socket));
+        let socket = Rc::new(RefCell::new(Uninterrupted(socket)));
         let line = Rc::new(Line {
             stage: Cell::new(Stage::Fresh),
             since: Cell::new(Instant::now()),
@@ -254,7 +257,8 @@
                     }
                 }
             }
-            cut += live().filter(|l| l.is_over(now, full)).map(|line| line.cut.notify_one()).count();
+            let stops = closing.is_told();
+            cut += live().filter(|l| l.is_over(now, full, stops)).map(|line| line.cut.notify_one()).count();
             if full && told.is_none_or(|at| now > at + Duration::from_secs(1)) {
                 warn!(
                     open,
@@ -269,7 +273,7 @@
 
 /// A client's connection as actix-http reads it.
 pub struct ClientStream {
-    socket: Rc<RefCell<TcpStream>>,
+    socket: Rc<RefCell<Uninterrupted<TcpStream>>>,
     line: Rc<Line>,
     at_once: usize,
     /// Nothing more comes: its client closed it, or it broke.
