--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -1,5 +1,6 @@
 //! The real program as a process of its own.
 
+use super::faults::Faults;
 use std::io::BufRead;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::{Child, Command, Stdio};
@@ -33,17 +34,25 @@
 impl Process {
     /// Starts the program by an operator's file of this text.
     pub fn start(file: &str, text: &str) -> Self {
+        Self::started(file, text, None)
+    }
+
+    /// The same, where system calls fail by a plan.
+    pub fn start_under(faults: &Faults, file: &str, text: &str) -> Self {
+        Self::started(file, text, Some(faults))
+    }
+
+    fn started(file: &str, text: &str, faults: Option<&Faults>) -> Self {
         let path =
             std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{file}", std::process::id()));
         std::fs::write(&path, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_shaletack"))
-            .args(["serve", "--operator"])
-            .arg(path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_shaletack"));
+        command.args(["serve", "--operator"]).arg(path);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        if let Some(faults) = faults {
+            faults.on(&mut command);
+        }
+        let mut child = command.spawn().unwrap();
         let (say, said) = mpsc::unbounded_channel();
         let lines = std::io::BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|l| say.send(l)));
--- a/tests/writeback.rs
+++ b/tests/writeback.rs
@@ -1,13 +1,14 @@
 //! Write-back on real files and sockets: the process is killed, and what it promised is there.
 
 mod common;
+use common::faults::Faults;
 use common::net::*;
 use common::process::Process;
 use shaletack::nbd::codec::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const CELL: u32 = 512;
 
@@ -202,3 +203,75 @@
         assert!(line.contains("durable=true"), "{line}");
     });
 }
+
+/// A command's error number, and how long its answer took.
+async fn timed(client: &mut NbdClient, command: u16, cell: u64, value: u8, flags: u16) -> (u32, Duration) {
+    let start = Instant::now();
+    let (data, length) =
+        if command == cmd::WRITE { (vec![value; CELL as usize], CELL) } else { (Vec::new(), 0) };
+    let offset = if command == cmd::WRITE { cell * u64::from(CELL) } else { 0 };
+    client.send(command, flags, cell, offset, length, &data).await;
+    (client.reply().await.error, start.elapsed())
+}
+
+/// The disk refuses one write and sync in 20, then all of them for a while, then none: what was acknowledged is there
+/// after a kill, every command has its answer in time, and the process goes on by itself.
+#[test]
+fn a_log_that_can_not_be_written_for_a_while_goes_on_and_owes_what_it_took() {
+    const DEADLINE: Duration = Duration::from_millis(1500);
+    const IN_TIME: Duration = Duration::from_millis(1700);
+    story(async {
+        let boxed = NbdBox::start(Script::Serve, 1 << 16).await;
+        let folder = folder("refuses");
+        let text = file(boxed.address, &folder, "resend");
+        let faults = Faults::new("disk", "disk 50\n");
+        let mut process = Process::start_under(&faults, "refuses.json", &text);
+        let mut client = NbdClient::go(process.place().await).await;
+        let mut promised = BTreeMap::new();
+        for cell in 0..60_u64 {
+            let value = cell as u8 + 1;
+            let (error, took) = timed(&mut client, cmd::WRITE, cell, value, flag::FUA).await;
+            assert!(took < IN_TIME && error == 0, "cell {cell}: {error} after {took:?}");
+            promised.insert(cell, value);
+        }
+        // Taken without a promise, and then nothing more can be promised.
+        assert_eq!(timed(&mut client, cmd::WRITE, 70, 70, 0).await.0, 0);
+        faults.set("disk 1000\n");
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        for (command, cell, flags) in [
+            (cmd::WRITE, 71, flag::FUA),
+            (cmd::FLUSH, 0, 0),
+            (cmd::WRITE, 72, 0),
+            (cmd::WRITE, 73, flag::FUA),
+        ] {
+            let (error, took) = timed(&mut client, command, cell, 73, flags).await;
+            assert!(error != 0 && took < IN_TIME, "{command} of {cell}: {error} after {took:?}");
+        }
+        // Reads go on, and the boxes get what was promised.
+        assert_eq!(read(&mut client, 5).await, 6);
+        faults.set("");
+        let (error, took) = timed(&mut client, cmd::FLUSH, 0, 0, 0).await;
+        assert!(error == 0 && took < DEADLINE, "flush: {error} after {took:?}");
+        promised.insert(70, 70);
+        assert_eq!(timed(&mut client, cmd::WRITE, 80, 80, flag::FUA).await.0, 0);
+        promised.insert(80, 80);
+        // Killed while the disk refuses.
+        faults.set("disk 500\n");
+        for cell in 81..90_u64 {
+            let (error, took) = timed(&mut client, cmd::WRITE, cell, cell as u8, flag::FUA).await;
+            assert!(took < IN_TIME);
+            if error == 0 {
+                promised.insert(cell, cell as u8);
+            }
+        }
+        process.0.kill().unwrap();
+        process.0.wait().unwrap();
+        let mut last = Process::start("refuses.json", &text);
+        let mut client = NbdClient::go(last.place().await).await;
+        for (cell, value) in &promised {
+            assert_eq!(read(&mut client, *cell).await, *value, "cell {cell}");
+        }
+        until(|| promised.keys().all(|cell| reached(&boxed).contains_key(cell))).await;
+        assert!(reached(&boxed).values().all(|count| *count == 1), "{:?}", reached(&boxed));
+    });
+}
