Write-back goes on after a disk that refused for a while

Cause: Keeper::commit said Committed(false) at the first failed write or sync, and the buffer took nothing more until the next start; flushes had no bound at all.

Change: write_until_durable writes the whole batch anew, to a file opened anew, before each sync, after 20 ms to 0.5 s, and feeds Committed(true) once it is durable; no other batch goes before it, so the log on disk is never torn but at its end. A second sync alone would prove nothing.

--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! It never opens a file, waits or reads a clock, and it knows nothing of what records mean. One commit is out at
 //! a time; the caller carries it out through [`Disk`] and says how it ended. A commit that failed is the last:
-//! a second fsync that succeeds proves nothing of what the first one lost.
+//! a second fsync that succeeds proves nothing of what the first one lost. A caller that writes all bytes of the commit anew
+//! before it syncs again may try that until it succeeds, and only then say how it ended.
 
 pub mod form;
 mod log;
--- a/src/nbd/front.rs
+++ b/src/nbd/front.rs
@@ -375,8 +375,11 @@
 
     /// A write or flush of an export whose writes are buffered.
     async fn buffer(&self, keeper: &Keeper, request: &Request, parts: &[Part], data: &Bytes) {
+        let settings = self.shared.host.settings();
+        let class = self.shared.operator.classes.write;
+        let patience = settings.classes.get(class as usize).map_or(Duration::ZERO, |c| c.deadline);
         let done = if request.command == cmd::FLUSH {
-            keeper.flush(&self.export).await
+            keeper.flush(&self.export, patience).await
         } else {
             let piece = |part: &Part| NewPiece {
                 from: request.offset + u64::from(part.skip),
@@ -384,9 +387,7 @@
                 at: part.at,
                 data: data.slice(part.skip as usize..(part.skip + part.length) as usize),
             };
-            let (pieces, class) = (parts.iter().map(piece).collect(), self.shared.operator.classes.write);
-            let settings = self.shared.host.settings();
-            let patience = settings.classes.get(class as usize).map_or(Duration::ZERO, |c| c.deadline);
+            let pieces = parts.iter().map(piece).collect();
             keeper.write(&self.export, pieces, request.flags & flag::FUA != 0, patience).await
         };
         match done {
--- a/src/writeback/files.rs
+++ b/src/writeback/files.rs
@@ -77,18 +77,12 @@
     }
 
     fn commit(&mut self, commit: &Commit) -> io::Result<()> {
-        if self.last.as_ref().is_none_or(|(segment, _)| *segment != commit.segment) {
-            let path = self.path(commit.segment);
-            let file = OpenOptions::new().create(true).truncate(false).write(true).mode(0o600).open(path)?;
-            self.last = Some((commit.segment, file));
-        }
-        let Some((_, file)) = &self.last else { return Err(io::ErrorKind::NotFound.into()) };
-        file.write_all_at(&commit.bytes, commit.at)?;
-        file.sync_data()?;
-        if commit.create {
-            self.sync_folder()?;
+        let written = self.write_and_sync(commit);
+        if written.is_err() {
+            // The next try opens the file anew, so that what it is told is about its own bytes.
+            self.last = None;
         }
-        Ok(())
+        written
     }
 
     fn cut(&mut self, segment: u64, at: u64) -> io::Result<()> {
@@ -102,3 +96,20 @@
         self.sync_folder()
     }
 }
+
+impl Files {
+    fn write_and_sync(&mut self, commit: &Commit) -> io::Result<()> {
+        if self.last.as_ref().is_none_or(|(segment, _)| *segment != commit.segment) {
+            let path = self.path(commit.segment);
+            let file = OpenOptions::new().create(true).truncate(false).write(true).mode(0o600).open(path)?;
+            self.last = Some((commit.segment, file));
+        }
+        let Some((_, file)) = &self.last else { return Err(io::ErrorKind::NotFound.into()) };
+        file.write_all_at(&commit.bytes, commit.at)?;
+        file.sync_data()?;
+        if commit.create {
+            self.sync_folder()?;
+        }
+        Ok(())
+    }
+}
--- a/src/writeback/mod.rs
+++ b/src/writeback/mod.rs
@@ -21,6 +21,7 @@
 use std::collections::hash_map::RandomState;
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{BuildHasher, Hasher};
+use std::io;
 use std::rc::{Rc, Weak};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -31,6 +32,9 @@
 const IDLE: Duration = Duration::from_secs(1);
 /// A write that the log has no room for is tried again after so long, while its client waits.
 const FULL: Duration = Duration::from_millis(20);
+/// A batch that the disk refused is written again after this, then after twice as long each time, up to the second.
+const RETRY_FIRST: Duration = Duration::from_millis(20);
+const RETRY_MOST: Duration = Duration::from_millis(500);
 /// At the stop the log has so long to become whole.
 const CLOSES: Duration = Duration::from_secs(5);
 /// The most attempts out at a time, in all and at one shard.
@@ -50,6 +54,8 @@
     wake: Cell<Option<Duration>>,
     rearm: Notify,
     committing: Cell<bool>,
+    /// The disk refused the batch that is being written.
+    refuses: Cell<bool>,
     wrote: Cell<Duration>,
     /// Nothing has happened since the log was last sealed.
     rests: Cell<bool>,
@@ -100,6 +106,7 @@
             wake: Cell::new(None),
             rearm: Notify::new(),
             committing: Cell::new(false),
+            refuses: Cell::new(false),
             wrote: Cell::new(Duration::ZERO),
             rests: Cell::new(false),
             needs: RefCell::default(),
@@ -156,20 +163,38 @@
     }
 
     fn commit(&self, commit: Commit) {
-        let (files, keeper) = (self.0.files.clone(), self.clone());
+        let keeper = self.clone();
         self.0.committing.set(true);
         actix_rt::spawn(async move {
-            let written = actix_rt::task::spawn_blocking(move || {
-                files.lock().unwrap_or_else(PoisonError::into_inner).commit(&commit)
-            });
-            let done = written.await.unwrap_or_else(|e| Err(std::io::Error::other(e.to_string())));
-            let whole = done.inspect_err(|why| error!(%why, "write-back: the log can't be written")).is_ok();
+            keeper.write_until_durable(commit).await;
             keeper.0.committing.set(false);
             keeper.0.wrote.set(keeper.now());
-            keeper.feed(Input::Committed(whole));
+            keeper.feed(Input::Committed(true));
         });
     }
 
+    /// Each try writes the whole batch anew before it syncs: a sync that failed may have dropped what was written before it,
+    /// and a second one alone would prove nothing. No other batch goes before this one is durable.
+    async fn write_until_durable(&self, commit: Commit) {
+        let (commit, mut wait) = (Arc::new(commit), RETRY_FIRST);
+        loop {
+            let (files, batch) = (self.0.files.clone(), commit.clone());
+            let written = actix_rt::task::spawn_blocking(move || {
+                files.lock().unwrap_or_else(PoisonError::into_inner).commit(&batch)
+            });
+            let Err(why) = written.await.unwrap_or_else(|why| Err(io::Error::other(why.to_string()))) else {
+                break;
+            };
+            error!(%why, "write-back: the log can't be written; it is tried again, and no write is taken");
+            self.0.refuses.set(true);
+            tokio::time::sleep(wait).await;
+            wait = (wait * 2).min(RETRY_MOST);
+        }
+        if self.0.refuses.replace(false) {
+            info!("write-back: the log can be written again");
+        }
+    }
+
     fn ready(&self, id: PieceId) {
         let Some((shard, _, data)) = self.0.buffer.borrow().piece(id) else { return };
         let units = (data.len() as u64).div_ceil(self.0.operator.unit_bytes.into()).max(1);
@@ -249,13 +274,15 @@
         });
     }
 
-    async fn ask(&self, input: impl FnOnce(Token) -> Input) -> Result<(), Refusal> {
+    /// What comes of a command. One that is not durable in time has failed: it may be so later, and nothing is promised.
+    async fn ask(&self, until: Instant, input: impl FnOnce(Token) -> Input) -> Result<(), Refusal> {
         let token = self.0.last.get() + 1;
         self.0.last.set(token);
         let (done, answered) = oneshot::channel();
         self.0.waiting.borrow_mut().insert(token, done);
         self.feed(input(token));
-        answered.await.unwrap_or(Err(Refusal::Failed))
+        let answered = tokio::time::timeout_at(until.into(), answered).await;
+        answered.unwrap_or(Ok(Err(Refusal::Failed))).unwrap_or(Err(Refusal::Failed))
     }
 
     /// Takes a write; while the log is full it waits, as long as its client does.
@@ -268,17 +295,24 @@
     ) -> Result<(), Refusal> {
         let until = Instant::now() + patience;
         loop {
-            let (volume, pieces) = (export.volume, pieces.clone());
-            match self.ask(|token| Input::Write { token, export: volume, pieces, fua }).await {
+            let answer = match self.0.refuses.get() {
+                // What is taken now could be promised by nobody.
+                true => Err(Refusal::Full),
+                false => {
+                    let (volume, pieces) = (export.volume, pieces.clone());
+                    self.ask(until, |token| Input::Write { token, export: volume, pieces, fua }).await
+                }
+            };
+            match answer {
                 Err(Refusal::Full) if Instant::now() + FULL < until => tokio::time::sleep(FULL).await,
                 answer => return answer,
             }
         }
     }
 
-    /// Ends once all that was taken of an export is durable.
-    pub async fn flush(&self, export: &Export) -> Result<(), Refusal> {
-        self.ask(|token| Input::Flush { token, export: export.volume }).await
+    /// Ends once all that was taken of an export is durable, or its client waits no longer.
+    pub async fn flush(&self, export: &Export, patience: Duration) -> Result<(), Refusal> {
+        self.ask(Instant::now() + patience, |token| Input::Flush { token, export: export.volume }).await
     }
 
     /// What a read is to be overlaid with, taken before its boxes are asked.
