Terms: an NBD client that goes while its commands are held back, known red

Cause: Session::commands reads nothing while it waits for one of its 16 places or for memory, behind DISC and once the front stops, so it does not see its client go; what was held is sent up to the deadline later.

Change: a story that holds all requests back, lets the client go in four ways, and lists the boxes again 0.1 s later.

--- a/tests/nbd.rs
+++ b/tests/nbd.rs
@@ -195,3 +195,62 @@
         }
     });
 }
+
+/// How a client leaves with commands that are held back: more than its connection has in work at a time; behind a DISC;
+/// its sending half alone; while the front stops.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Leaving {
+    Pipelined,
+    Disconnect,
+    HalfClosed,
+    AtStop,
+}
+
+/// An attempt that begins over 0.1 s after its client left is a break, whatever the connection was waiting for.
+#[test]
+fn nothing_is_sent_for_an_nbd_client_that_has_gone() {
+    for leaving in [Leaving::Pipelined, Leaving::Disconnect, Leaving::HalfClosed, Leaving::AtStop] {
+        story(async move {
+            let boxes = two_boxes(Script::Serve, Script::Serve).await;
+            let operator = over(&boxes);
+            let listed = operator.boxes.clone();
+            let (front, stop, host) = nbd_front(operator).await;
+            // All requests are held back: no box takes any.
+            let kind = shaletack::interface::ListKind::Full;
+            let entries = |up: bool| if up { listed.entries.clone() } else { Vec::new() };
+            let list = |revision, up| shaletack::members::Members { revision, kind, entries: entries(up) };
+            host.feed(shaletack::broker::Input::List(list(2, false)));
+            let mut client = NbdClient::go(front).await;
+            let commands = if leaving == Leaving::Pipelined { 20 } else { 3 };
+            for cookie in 0..commands {
+                client.send(cmd::READ, 0, cookie, cookie * 512, 512, &[]).await;
+            }
+            while host.open() < commands.min(16) as usize {
+                tokio::task::yield_now().await;
+            }
+            match leaving {
+                Leaving::Pipelined => drop(client),
+                Leaving::Disconnect => {
+                    client.send(cmd::DISC, 0, commands, 0, 0, &[]).await;
+                    drop(client);
+                }
+                Leaving::HalfClosed => {
+                    client.0.get_mut().shutdown().await.unwrap();
+                    actix_rt::spawn(async move {
+                        let _ = client.0.read_to_end(&mut Vec::new()).await;
+                    });
+                }
+                Leaving::AtStop => {
+                    stop.notify_one();
+                    // The front tells its connections to close 0.45 s later, and waits for what they took.
+                    tokio::time::sleep(std::time::Duration::from_millis(600)).await;
+                    drop(client);
+                }
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            host.feed(shaletack::broker::Input::List(list(3, true)));
+            tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+            assert_eq!((boxes.0.count(cmd::READ), host.open()), (0, 0), "{leaving:?}");
+        });
+    }
+}
