--- a/src/nbd/front.rs
+++ b/src/nbd/front.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, Interest};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
@@ -34,6 +34,8 @@
 const PIPELINED: usize = 16;
 /// What all commands in work may hold together, in KiB: a third of the platform's memory.
 const MEMORY_KIB: usize = 64 << 10;
+/// Whether a client is still there is looked at so often, while something that it sent is unread.
+const LOOK: Duration = Duration::from_millis(20);
 /// A client that takes nothing of its answers for so long has left.
 const STUCK: Duration = Duration::from_secs(30);
 
@@ -101,8 +103,23 @@
     }
 }
 
+/// Ends once the client has closed its connection, or its sending half: whatever it sent before and nobody has read yet, and
+/// whatever the connection waits for.
+async fn client_left(writer: &Writer) {
+    // Where nothing comes this waits; where something came that nobody reads yet it looks now and then.
+    while writer.0.as_ref().ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Writes what goes to the client, until nothing more does or it has left.
 async fn write(mut writer: Writer, mut outs: mpsc::Receiver<Out>) {
-    while let Some((head, data, _memory)) = outs.recv().await {
+    loop {
+        let next = tokio::select! {
+            next = outs.recv() => next,
+            () = client_left(&writer) => return,
+        };
+        let Some((head, data, _memory)) = next else { return };
         let whole = async {
             writer.write_all(&head).await?;
             writer.write_all(&data).await
--- a/tests/nbd.rs
+++ b/tests/nbd.rs
@@ -254,3 +254,34 @@
         });
     }
 }
+
+/// A client that stops in the middle of its handshake, of a command or of a write's data, and stays, is owed a close within
+/// 3 s; it would hold its place and its memory for good. One that rests between two commands stays.
+#[test]
+fn nbd_clients_that_stop_in_the_middle_are_closed_within_three_seconds() {
+    story(async {
+        let boxes = two_boxes(Script::Serve, Script::Serve).await;
+        let (front, _, _) = nbd_front(over(&boxes)).await;
+        let mut resting = NbdClient::go(front).await;
+        let write = Request { flags: 0, command: cmd::WRITE, cookie: 1, offset: 0, length: 4096 }.bytes();
+        let stops: Vec<Vec<u8>> = vec![write[..20].to_vec(), [&write[..], &[7; 100]].concat()];
+        let mut stopped = vec![NbdClient::connect(front).await];
+        for said in stops {
+            let mut client = NbdClient::go(front).await;
+            client.0.write_all(&said).await.unwrap();
+            stopped.push(client);
+        }
+        let start = std::time::Instant::now();
+        for client in &mut stopped {
+            // Closed over what nobody read it may be reset.
+            let mut byte = [0];
+            let ended = client.0.read(&mut byte);
+            let count =
+                tokio::time::timeout(std::time::Duration::from_secs(3), ended).await.expect("it is closed");
+            assert_eq!(count.unwrap_or(0), 0);
+        }
+        assert!(start.elapsed() < std::time::Duration::from_secs(3), "{:?}", start.elapsed());
+        resting.send(cmd::READ, 0, 2, 0, 512, &[]).await;
+        assert_eq!(resting.reply().await.error, 0);
+    });
+}
