An NBD client that stops in the middle of a command is closed

Change: 2.5 s for the handshake, for the rest of a command once it has begun, and between any two parts of a write's data.

--- a/src/nbd/front.rs
+++ b/src/nbd/front.rs
@@ -17,14 +17,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, Interest};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
 
 /// A handshake takes at most so long, so many options, and options of so many bytes.
-const HANDSHAKE: Duration = Duration::from_secs(10);
+const HANDSHAKE: Duration = Duration::from_millis(2500);
+/// A client that stops for so long in the middle of a command has left.
+const STOPS: Duration = Duration::from_millis(2500);
 const OPTIONS_MOST: usize = 64;
 const OPTION_MOST: u32 = 8192;
 /// The largest request that is served, as clients are told, and the largest write that is read to its end.
@@ -234,10 +236,34 @@
 }
 
 async fn drain(reader: &mut Reader, length: u32) -> io::Result<()> {
-    let copied = tokio::io::copy(&mut reader.take(u64::from(length)), &mut tokio::io::sink()).await?;
-    if copied < u64::from(length) {
+    let mut scrap = [0; 8192];
+    let mut left = length as usize;
+    while left > 0 {
+        let part = left.min(scrap.len());
+        read_data(reader, &mut scrap[..part]).await?;
+        left -= part;
+    }
+    Ok(())
+}
+
+/// The next command. A client may rest before it for as long as it likes, and not in the middle of it.
+async fn next_request(reader: &mut Reader) -> io::Result<Request> {
+    if reader.fill_buf().await?.is_empty() {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
+    tokio::time::timeout(STOPS, Request::read(reader)).await?
+}
+
+/// The data of a write, from a client that may be slow and does not stop.
+async fn read_data(reader: &mut Reader, data: &mut [u8]) -> io::Result<()> {
+    let mut came = 0;
+    while came < data.len() {
+        let count = tokio::time::timeout(STOPS, reader.read(&mut data[came..])).await??;
+        if count == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        came += count;
+    }
     Ok(())
 }
 
@@ -268,7 +294,7 @@
         loop {
             while tasks.try_join_next().is_some() {}
             let request = tokio::select! {
-                request = Request::read(&mut reader) => request?,
+                request = next_request(&mut reader) => request?,
                 () = &mut closing => break,
             };
             if request.command == cmd::DISC {
@@ -291,7 +317,7 @@
             let memory = self.shared.memory.clone().acquire_many_owned(1 + request.length / 1024);
             let memory = Arc::new(memory.await.map_err(gone)?);
             let mut data = vec![0; if write { request.length as usize } else { 0 }];
-            reader.read_exact(&mut data).await?;
+            read_data(&mut reader, &mut data).await?;
             let session = self.clone();
             tasks.spawn_local(async move {
                 session.execute(request, data.into(), memory).await;
