Terms: closes, reloads in series and first moments on real processes hold

Cause: clauses that no test played on a real process at their extreme.

Change: three plays. 40 clients close at one instant while their requests wait for a limit's units, a turn at a box in slow start, or a connection that does not come up: nothing goes out for them after 0.1 s, and one that stays is served. Two SIGHUPs 0.5 s apart to agents whose first two calls are closed, silent, refused, cut or a head alone: nothing goes to a box that drains there 5.05 s after the first. A new process whose file lists a box that its agent says drains, also where the first call is lost.

--- a/tests/common/platform.rs
+++ b/tests/common/platform.rs
@@ -1,5 +1,6 @@
 //! The platform round one real process, in blocking threads: its discovery agent, boxes over HTTP, and clients.
 
+use socket2::{Domain, Socket, Type};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -52,22 +53,44 @@
     pub address: SocketAddr,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     pub hangs: Arc<AtomicBool>,
+    /// Connections come up, from when this is set on.
+    pub opens: Arc<AtomicBool>,
 }
 
 impl StandInBox {
     /// Each answer takes so long.
     pub fn start(takes: Duration) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::serve(TcpListener::bind("127.0.0.1:0").unwrap(), takes, true, Vec::new())
+    }
+
+    /// The same, with a backlog that is full: no connection comes up before `opens` is set.
+    pub fn start_full(takes: Duration) -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        listener.listen(1).unwrap();
+        let listener = TcpListener::from(listener);
+        let address = listener.local_addr().unwrap();
+        let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(200));
+        let filled = std::iter::repeat_with(fill).map_while(Result::ok).collect();
+        Self::serve(listener, takes, false, filled)
+    }
+
+    fn serve(listener: TcpListener, takes: Duration, opens: bool, filled: Vec<TcpStream>) -> Self {
         let address = listener.local_addr().unwrap();
         let (arrivals, hangs) = (Arc::<Mutex<Vec<Arrival>>>::default(), Arc::<AtomicBool>::default());
-        let (seen, hanging) = (arrivals.clone(), hangs.clone());
+        let opens = Arc::new(AtomicBool::new(opens));
+        let (seen, hanging, open) = (arrivals.clone(), hangs.clone(), opens.clone());
         std::thread::spawn(move || {
+            while !open.load(Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            drop(filled);
             for stream in listener.incoming().map_while(Result::ok) {
                 let (seen, hanging) = (seen.clone(), hanging.clone());
                 std::thread::spawn(move || answer_all(stream, takes, &seen, &hanging));
             }
         });
-        StandInBox { address, arrivals, hangs }
+        StandInBox { address, arrivals, hangs, opens }
     }
 
     /// How many requests came within each second from an instant on.
@@ -113,20 +136,59 @@
     list: Arc<Mutex<(u64, Vec<String>)>>,
 }
 
+/// What becomes of a call of an agent.
+#[derive(Clone, Copy, Debug)]
+pub enum Trouble {
+    /// Its connection is closed at once.
+    Closed,
+    /// Nothing is answered.
+    Silent,
+    /// A head, and nothing behind it.
+    HeadOnly,
+    /// It is turned away.
+    Refused,
+    /// Half an object.
+    HalfObject,
+}
+
+impl Trouble {
+    fn befall(self, mut stream: TcpStream) -> io::Result<()> {
+        const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let said = match self {
+            Trouble::Closed => return Ok(()),
+            Trouble::Silent => String::new(),
+            Trouble::HeadOnly => HEAD.into(),
+            Trouble::Refused => "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".into(),
+            Trouble::HalfObject => format!("{HEAD}a\r\n{{\"revision\r\n"),
+        };
+        stream.write_all(said.as_bytes())?;
+        // It stays until the other side ends it.
+        io::copy(&mut stream, &mut io::sink()).map(drop)
+    }
+}
+
 /// How often a watch looks for changes, and after how many looks it says that there is none.
 const LOOK: (Duration, u32) = (Duration::from_millis(5), 200);
 
 impl StandInAgent {
     /// Lists these entries, as revision 1.
     pub fn start(entries: &[String]) -> Self {
+        Self::start_troubled(entries, &[])
+    }
+
+    /// The same, but its first calls end in trouble.
+    pub fn start_troubled(entries: &[String], troubles: &'static [Trouble]) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let list = Arc::new(Mutex::new((1, entries.to_vec())));
         let shared = list.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
+            for (number, stream) in listener.incoming().map_while(Result::ok).enumerate() {
                 let list = shared.clone();
-                std::thread::spawn(move || tell_changes(stream, &list));
+                std::thread::spawn(move || match troubles.get(number) {
+                    Some(trouble) => trouble.befall(stream),
+                    None => tell_changes(stream, &list),
+                });
             }
         });
         StandInAgent { address, list }
@@ -209,6 +271,11 @@
         Ok(Client(BufReader::new(stream)))
     }
 
+    /// Sends a request, and goes on without its answer.
+    pub fn send(&mut self, request: &[u8]) -> io::Result<()> {
+        self.0.get_mut().write_all(request)
+    }
+
     /// Sends a request and waits so long for its answer; `Err`: it could not be written.
     pub fn ask(&mut self, request: &[u8], patience: Duration) -> io::Result<Ending> {
         self.0.get_mut().write_all(request)?;
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -254,3 +254,157 @@
     }
     assert!(resting.iter_mut().all(|client| ask(client).keeps()));
 }
+
+/// Many requests on connections that are all closed at one instant, but for one: how many came to the box over 0.1 s after
+/// beside that one, and in all.
+fn arrivals_after_close(at: SocketAddr, stand_in: &StandInBox) -> (usize, usize) {
+    let mut clients: Vec<Client> = (0..40).map(|_| Client::connect(at).unwrap()).collect();
+    for client in &mut clients {
+        client.send(&request("GET", "leitura", 0, 3 * SECOND, "").0).unwrap();
+    }
+    let (stays, kept) = request("GET", "leitura", 0, 3 * SECOND, "");
+    let mut staying = Client::connect(at).unwrap();
+    staying.send(&stays).unwrap();
+    std::thread::sleep(SECOND / 2);
+    clients.into_iter().for_each(Client::close);
+    let late = Instant::now() + Duration::from_millis(100);
+    std::thread::sleep(4 * SECOND);
+    let arrivals = stand_in.arrivals.lock().unwrap();
+    let after = arrivals.iter().filter(|arrival| arrival.at > late && arrival.trace() != kept);
+    (after.count(), arrivals.len())
+}
+
+/// A request whose client has closed its connection is sent nowhere, whatever it waited for: the units of its limit, a turn
+/// at a box in slow start, or a connection that does not come up.
+#[test]
+fn nothing_is_sent_after_a_close_whatever_the_request_waits_for() {
+    let rules = r#""overload-factor":3,"start-capacity":0.16,"tip-after":1000000000,"warm-up":6000000000,"stop-sending-within":1000000000"#;
+    let domain = r#""cold-bears":4,"unit-mean":1,"units-top":1,"shards":2"#;
+    let start_at = move |name: &'static str, entry: String, plan: &str| {
+        let agent = StandInAgent::start(&[entry]);
+        let text = configuration(agent.address, 3000, domain, rules)
+            .replace(r#"{"name":"basico","shares":1}"#, plan);
+        (start(name, &text, &Faults::new(name, "")), agent)
+    };
+    const FREE: &str = r#"{"name":"basico","shares":1}"#;
+    let limit = std::thread::spawn(move || {
+        let limited =
+            r#"{"name":"basico","shares":1,"base-rate":2,"never-over":2,"limit-burst":4,"tolerance":1}"#;
+        let stand_in = StandInBox::start(Duration::from_millis(2));
+        let listed = entry("s-00000001", stand_in.address, 0, "up", 0);
+        let ((_child, _lines, at), _agent) = start_at("closes-limit", listed, limited);
+        arrivals_after_close(at, &stand_in)
+    });
+    let cold = std::thread::spawn(move || {
+        let stand_in = StandInBox::start(Duration::from_millis(2));
+        let listed = entry("s-00000001", stand_in.address, 0, "up", unix_ms());
+        let ((_child, _lines, at), _agent) = start_at("closes-cold", listed, FREE);
+        arrivals_after_close(at, &stand_in)
+    });
+    let connecting = std::thread::spawn(move || {
+        // Its backlog is full: a connection comes up once somebody accepts.
+        let stand_in = StandInBox::start_full(Duration::from_millis(2));
+        let listed = entry("s-00000001", stand_in.address, 0, "up", 0);
+        let ((_child, _lines, at), _agent) = start_at("closes-late", listed, FREE);
+        let opens = stand_in.opens.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(SECOND);
+            opens.store(true, Ordering::Relaxed);
+        });
+        arrivals_after_close(at, &stand_in)
+    });
+    let played = [limit.join().unwrap(), cold.join().unwrap(), connecting.join().unwrap()];
+    assert!(played.iter().all(|(late, all)| *late == 0 && (1..40).contains(all)), "{played:?}");
+}
+
+/// Reads of shard 0 by clients that go on, while its two boxes are told of: when the last request came to the first.
+fn last_arrival(stand_in: &StandInBox) -> Option<Instant> {
+    stand_in.arrivals.lock().unwrap().last().map(|arrival| arrival.at)
+}
+
+/// A change counts as told 4 s after SIGHUP, whatever the first calls at the new address bring, and also where another
+/// SIGHUP follows: from 1 s (the settings' grace) and 0.05 s after that on nothing new goes to a box that drains.
+#[test]
+fn a_drain_behind_a_reload_counts_in_time_whatever_the_next_calls_bring() {
+    const TROUBLES: [&[Trouble]; 4] = [
+        &[Trouble::Closed, Trouble::HeadOnly],
+        &[Trouble::Silent, Trouble::Closed],
+        &[Trouble::Refused, Trouble::HalfObject],
+        &[Trouble::HeadOnly, Trouble::Silent],
+    ];
+    let play = |number: usize, troubles: &'static [Trouble]| {
+        let boxes =
+            [StandInBox::start(Duration::from_millis(3)), StandInBox::start(Duration::from_millis(3))];
+        let listed = |first: &str| {
+            vec![
+                entry("s-00000001", boxes[0].address, 0, first, 0),
+                entry("s-00000002", boxes[1].address, 0, "up", 0),
+            ]
+        };
+        let old = StandInAgent::start(&listed("up"));
+        let (second, third) = (
+            StandInAgent::start_troubled(&listed("draining"), troubles),
+            StandInAgent::start_troubled(&listed("draining"), troubles),
+        );
+        // Versions go on where discovery moves.
+        second.tell(entry("s-00000001", boxes[0].address, 0, "draining", 0));
+        third.tell(entry("s-00000001", boxes[0].address, 0, "draining", 0));
+        let name = format!("reload{number}");
+        let rules = r#""stop-sending-within":1000000000"#;
+        let text = |agent| configuration(agent, 1000, r#""unit-mean":1,"units-top":1,"shards":1"#, rules);
+        let (child, _lines, at) = start(&name, &text(old.address), &Faults::new(&name, ""));
+        let path = format!("terms-{}-{name}.json", std::process::id());
+        let stop = keep_reading(at, 6, 0);
+        std::thread::sleep(SECOND);
+        let counts_from = Instant::now();
+        for agent in [&second, &third] {
+            file(&path, &text(agent.address));
+            child.signal("-HUP");
+            std::thread::sleep(SECOND / 2);
+        }
+        std::thread::sleep(7 * SECOND);
+        stop.store(true, Ordering::Relaxed);
+        let last = last_arrival(&boxes[0]).expect("it was used").saturating_duration_since(counts_from);
+        let served = boxes[1].by_second(counts_from, 7);
+        (format!("{troubles:?}"), last, served)
+    };
+    let played: Vec<_> =
+        TROUBLES.into_iter().enumerate().map(|(n, t)| std::thread::spawn(move || play(n, t))).collect();
+    for one in played {
+        let (troubles, last, served) = one.join().unwrap();
+        assert!(last <= Duration::from_millis(5050), "{troubles}: sent until {last:?} after SIGHUP");
+        assert!(served[6] > 50, "{troubles}: {served:?}");
+    }
+}
+
+/// What the agent has counts as told from the first moment of a new process, also where its first call is lost.
+#[test]
+fn a_new_process_sends_nothing_to_what_its_agent_says_drains() {
+    const TROUBLES: [&[Trouble]; 3] = [&[], &[Trouble::Closed], &[Trouble::HeadOnly]];
+    for (number, troubles) in TROUBLES.into_iter().enumerate() {
+        let boxes =
+            [StandInBox::start(Duration::from_millis(3)), StandInBox::start(Duration::from_millis(3))];
+        let listed = |first: &str| {
+            vec![
+                entry("s-00000001", boxes[0].address, 0, first, 0),
+                entry("s-00000002", boxes[1].address, 0, "up", 0),
+            ]
+        };
+        let agent = StandInAgent::start_troubled(&listed("draining"), troubles);
+        let name = format!("first{number}");
+        let rules = r#""stop-sending-within":1000000000"#;
+        let text = configuration(agent.address, 1000, r#""unit-mean":1,"units-top":1,"shards":1"#, rules);
+        let known =
+            format!(r#""known":{{"revision":0,"complete":true,"members":[{}]}}"#, listed("up").join(","));
+        let text = text.replace(r#""known":{"revision":0,"complete":true,"members":[]}"#, &known);
+        let begins = Instant::now();
+        let (_child, _lines, at) = start(&name, &text, &Faults::new(&name, ""));
+        let stop = keep_reading(at, 6, 0);
+        std::thread::sleep(3 * SECOND);
+        stop.store(true, Ordering::Relaxed);
+        let last = last_arrival(&boxes[0]).map(|at| at.saturating_duration_since(begins));
+        assert!(last.is_none_or(|last| last <= Duration::from_millis(1050)), "{troubles:?}: {last:?}");
+        assert!(troubles.is_empty() <= last.is_none(), "{last:?}");
+        assert!(boxes[1].by_second(begins, 3)[2] > 50);
+    }
+}
