Requests sent at once are all answered, in the time that their clients have

Change: net/ahead.rs. Kept holds what is read ahead beyond actix-http's part, 256 KiB a connection and 8 MiB in all, past which it is a flood as before; a stop lets a connection end once that is empty. Arrivals knows when each byte came, so that X-Expires-In counts from a request's last one. ClientStream moves out of crowd.rs into net/client.rs.

tests/standing.rs: 400 requests at once (132 KB) were asked not to be all answered; now they are, and 4,000 (1.3 MB) are not.

--- a/src/net/crowd.rs
+++ b/src/net/crowd.rs
@@ -3,17 +3,18 @@
 //! actix-http has one clock for a connection's first head, one for an idle connection and none for a body;
 //! it reads up to 128 KiB of a head, and as much again of requests sent ahead. Here each has its own bound.
 
+use super::ahead::{Arrivals, KeptByAll};
+use super::client::ClientStream;
 use crate::runtime::gate::Closing;
 use crate::runtime::host::Host;
 use crate::runtime::sockets::Uninterrupted;
 use futures_util::FutureExt;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{ready, Context, Poll, Waker};
+use std::task::Waker;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tracing::warn;
@@ -50,16 +51,8 @@
 const LEAVE_REST: Duration = Duration::from_millis(250);
 /// A head, with what of its body is read along with it.
 const HEAD_MOST: usize = 32 * 1024;
-/// Bytes kept of requests sent ahead of an answer. What comes beyond is read and dropped, for a client's close stands
-/// behind all that it sent, and the connection ends with the answer,
-const AHEAD_MOST: usize = 16 * 1024;
-/// or at once, where it goes on for so long.
-const FLOOD_MOST: usize = 4 << 20;
-/// Bytes read at one go; a client that sends at full speed must not keep others waiting.
-const AT_ONCE: usize = 16 * 1024;
-
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Stage {
+pub(super) enum Stage {
     /// Nothing has come yet.
     Fresh,
     /// A request has begun to come.
@@ -79,23 +72,27 @@
 /// One client's connection.
 #[derive(Debug)]
 pub struct Line {
-    stage: Cell<Stage>,
+    pub(super) stage: Cell<Stage>,
     since: Cell<Instant>,
     /// Bytes of the head that is coming, or sent ahead of an answer.
-    bytes: Cell<usize>,
+    pub(super) bytes: Cell<usize>,
     /// When the last byte came.
-    heard: Cell<Instant>,
-    reader: RefCell<Option<Waker>>,
-    cut: Notify,
+    pub(super) heard: Cell<Instant>,
+    pub(super) reader: RefCell<Option<Waker>>,
+    pub(super) cut: Notify,
     /// It is to end once nothing more has come on it.
-    ends: Cell<bool>,
+    pub(super) ends: Cell<bool>,
     /// More came ahead of an answer than is kept.
-    floods: Cell<bool>,
+    pub(super) floods: Cell<bool>,
+    /// Bytes that were read ahead of an answer and are still to be taken.
+    pub(super) kept: Cell<usize>,
+    /// When what came on it came.
+    pub(super) arrivals: RefCell<Arrivals>,
     socket: Weak<RefCell<Uninterrupted<TcpStream>>>,
 }
 
 impl Line {
-    fn put(&self, stage: Stage) {
+    pub(super) fn put(&self, stage: Stage) {
         // A connection's first head counts from the connect.
         if (self.stage.get(), stage) != (Stage::Fresh, Stage::Head) {
             self.since.set(Instant::now());
@@ -136,6 +133,11 @@
         self.put(if ahead { Stage::Head } else { Stage::Idle });
     }
 
+    /// A request of that size is whole: when its last byte came. It may have waited behind others.
+    pub fn request_came(&self, size: u64) -> Instant {
+        self.arrivals.borrow_mut().take(size).unwrap_or_else(Instant::now)
+    }
+
     /// Ends when the connection is to be closed.
     pub async fn cut(&self) {
         self.cut.notified().await;
@@ -146,8 +148,21 @@
         self.floods.get()
     }
 
+    /// Requests were read that are still to be answered: it does not end with the present answer.
+    pub fn has_more(&self) -> bool {
+        self.kept.get() > 0 && !self.floods()
+    }
+
+    /// Fails where a head goes on and on.
+    pub(super) fn head_has_room(&self) -> io::Result<()> {
+        if self.stage.get() == Stage::Head && self.bytes.get() > HEAD_MOST {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "a head without end"));
+        }
+        Ok(())
+    }
+
     /// It has a request that its client waits for.
-    fn is_waited_for(&self) -> bool {
+    pub(super) fn is_waited_for(&self) -> bool {
         matches!(self.stage.get(), Stage::Body | Stage::Moving | Stage::Taken)
     }
 
@@ -202,7 +217,10 @@
 
 /// All connections of a front.
 #[derive(Clone, Default)]
-pub struct Crowd(Rc<RefCell<Vec<Weak<Line>>>>);
+pub struct Crowd {
+    lines: Rc<RefCell<Vec<Weak<Line>>>>,
+    kept: KeptByAll,
+}
 
 impl Crowd {
     /// A connection that was just accepted.
@@ -217,10 +235,12 @@
             cut: Notify::new(),
             ends: Cell::new(false),
             floods: Cell::new(false),
+            kept: Cell::new(0),
+            arrivals: RefCell::default(),
             socket: Rc::downgrade(&socket),
         });
-        self.0.borrow_mut().push(Rc::downgrade(&line));
-        ClientStream { socket, line, at_once: 0, ended: false, shut: false }
+        self.lines.borrow_mut().push(Rc::downgrade(&line));
+        ClientStream::new(socket, line, self.kept.clone())
     }
 
     /// Ends connections whose time is over, for as long as the front serves; `most` are let in. Once `closing` is
@@ -230,7 +250,7 @@
         loop {
             tokio::time::sleep(LOOK).await;
             let now = Instant::now();
-            let mut lines = self.0.borrow_mut();
+            let mut lines = self.lines.borrow_mut();
             lines.retain(|line| line.strong_count() > 0);
             // Nobody waits for a place of a process that another one has succeeded.
             let most = (most as f64 * host.part()).ceil() as usize;
@@ -270,121 +290,3 @@
         }
     }
 }
-
-/// A client's connection as actix-http reads it.
-pub struct ClientStream {
-    socket: Rc<RefCell<Uninterrupted<TcpStream>>>,
-    line: Rc<Line>,
-    at_once: usize,
-    /// Nothing more comes: its client closed it, or it broke.
-    ended: bool,
-    /// Nothing more goes out.
-    shut: bool,
-}
-
-impl ClientStream {
-    /// Its line.
-    pub fn line(&self) -> Rc<Line> {
-        self.line.clone()
-    }
-
-    fn poll_socket(&self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.socket.borrow_mut()).poll_read(cx, out)
-    }
-
-    /// Reads and drops what comes: ready once nothing more does.
-    fn poll_drop(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let mut scrap = [0; 4096];
-        for _ in 0..AT_ONCE / scrap.len() {
-            let mut part = ReadBuf::new(&mut scrap);
-            let read = ready!(self.poll_socket(cx, &mut part));
-            if read.is_err() || part.filled().is_empty() {
-                self.ended = true;
-                return Poll::Ready(());
-            }
-            self.line.bytes.set(self.line.bytes.get() + part.filled().len());
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    }
-}
-
-impl AsyncRead for ClientStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        out: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = &mut *self;
-        let line = this.line.clone();
-        if this.at_once >= AT_ONCE {
-            this.at_once = 0;
-            cx.waker().wake_by_ref();
-            return Poll::Pending;
-        }
-        if line.stage.get() == Stage::Taken && line.bytes.get() >= AHEAD_MOST {
-            line.floods.set(true);
-        }
-        if line.floods.get() {
-            let left = this.poll_drop(cx).is_ready();
-            if left || line.bytes.get() >= FLOOD_MOST {
-                line.cut.notify_one();
-            }
-            return Poll::Pending;
-        }
-        // The buffer may have room for far more than its reader is meant to hold.
-        let room = out.remaining().min(AT_ONCE - this.at_once);
-        let mut part = ReadBuf::new(out.initialize_unfilled_to(room));
-        let Poll::Ready(read) = this.poll_socket(cx, &mut part) else {
-            this.at_once = 0;
-            if line.ends.get() && matches!(line.stage.get(), Stage::Fresh | Stage::Idle) {
-                return Poll::Ready(Ok(()));
-            }
-            line.reader.replace(Some(cx.waker().clone()));
-            return Poll::Pending;
-        };
-        let count = part.filled().len();
-        this.ended = count == 0;
-        if this.ended && line.is_waited_for() {
-            // Its request ends now, not once what is on its way out has gone.
-            line.cut.notify_one();
-        }
-        read?;
-        out.advance(count);
-        if count > 0 && matches!(line.stage.get(), Stage::Fresh | Stage::Idle) {
-            line.put(Stage::Head);
-        }
-        this.at_once += count;
-        line.bytes.set(line.bytes.get() + count);
-        line.heard.set(Instant::now());
-        if line.stage.get() == Stage::Head && line.bytes.get() > HEAD_MOST {
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "a head without end")));
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for ClientStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.socket.borrow_mut()).poll_flush(cx)
-    }
-
-    /// Its own end first; then what still comes is read and dropped until its client's. A close over bytes that
-    /// nobody read would be a reset, and the last answer could be lost with it. `Stage::Leaving` bounds the wait.
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let this = &mut *self;
-        if !this.shut {
-            ready!(Pin::new(&mut *this.socket.borrow_mut()).poll_shutdown(cx))?;
-            this.shut = true;
-            this.line.put(Stage::Leaving);
-        }
-        if !this.ended {
-            ready!(this.poll_drop(cx));
-        }
-        Poll::Ready(Ok(()))
-    }
-}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,7 +1,8 @@
 //! The platform's front: HTTP/1.1 to clients, with actix-http.
 
 use super::boxes::{Boxes, Carried, Passed, Rest, Upload, BODIES_MOST, BODY_MOST, IDEMPOTENCY_KEY};
-use super::crowd::{ClientStream, Crowd, Line};
+use super::client::ClientStream;
+use super::crowd::{Crowd, Line};
 use crate::broker::{Answer, Ask, Broker};
 use crate::interface::VolumeId;
 use crate::runtime::gate::{Closing, Gate};
@@ -55,7 +56,8 @@
             let line = request.conn_data::<Rc<Line>>().cloned();
             let mut response = open.handle(request).await;
             let leaves = open.host.leaves_since().or(open.host.succeeded_since()).is_some();
-            if leaves || closes.is_told() || line.is_some_and(|line| line.floods()) {
+            let ends = leaves || closes.is_told();
+            if line.is_some_and(|line| line.floods() || ends && !line.has_more()) {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
             Ok::<_, Infallible>(response)
@@ -163,12 +165,20 @@
         if request.method() != Method::PUT && !matches!(body, Carried::None) {
             return turned_away(&line.0, StatusCode::BAD_REQUEST);
         }
-        let Some((ask, trace, key)) = self.host.look(|core| understand(&request, core)) else {
+        let waited = match &body {
+            // Its time begins with its last byte, which is still to come.
+            Carried::Moving(_) => Duration::ZERO,
+            Carried::Whole(bytes) => line.0.request_came(size_of(&request) + bytes.len() as u64).elapsed(),
+            Carried::None => line.0.request_came(size_of(&request)).elapsed(),
+        };
+        let understood = self.host.look(|core| understand(&request, core));
+        let Some((mut ask, trace, key)) = understood else {
             return turned_away(&line.0, StatusCode::BAD_REQUEST);
         };
         if !self.traces.borrow_mut().take(&trace, self.host.settings().longest()) {
             return turned_away(&line.0, StatusCode::CONFLICT);
         }
+        ask.patience = ask.patience.saturating_sub(waited);
         let target = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
         let upload = match &body {
             Carried::Moving(upload) => Some(upload.clone()),
@@ -322,6 +332,15 @@
     }
 }
 
+/// How many bytes a request's head took, but for spaces that it need not have.
+fn size_of(request: &Request) -> u64 {
+    const LINE: usize = " ".len() + " HTTP/1.1\r\n".len();
+    const HEADER: usize = ": \r\n".len();
+    let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
+    let headers = request.headers().iter().map(|(name, value)| name.as_str().len() + HEADER + value.len());
+    (request.method().as_str().len() + LINE + target + headers.sum::<usize>() + "\r\n".len()) as u64
+}
+
 /// The value of a header that comes once.
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     let mut all = headers.get_all(name);
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -651,3 +651,42 @@
         assert!(a.iter().map(|t| t.1.served).sum::<u64>() == 4 && a[1].1.failed == 2, "{a:?}");
     });
 }
+
+/// When each request came that was sent ahead, whatever pieces it came in, and what waits of it is bounded over all.
+#[test]
+fn what_is_sent_ahead_keeps_its_time_and_has_an_end() {
+    use shaletack::net::ahead::{Arrivals, Kept, KeptByAll};
+    let start = std::time::Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut arrivals = Arrivals::default();
+    assert_eq!(arrivals.take(10), None);
+    // Two whole ones and a half, its rest and one more, and a last one right behind.
+    arrivals.came(at(0), 250);
+    arrivals.came(at(100), 150);
+    arrivals.came(at(101), 100);
+    let came: Vec<_> = (0..5).map(|_| arrivals.take(100).unwrap()).collect();
+    assert_eq!(came, [at(0), at(0), at(100), at(100), at(100)]);
+    // One that is taken for larger than it is, and what comes after a rest.
+    arrivals.came(at(200), 100);
+    assert_eq!(arrivals.take(300), Some(at(200)));
+    arrivals.restart();
+    arrivals.came(at(300), 100);
+    assert_eq!(arrivals.take(90), Some(at(300)));
+
+    let all = KeptByAll::default();
+    let mut connections: Vec<Kept> = (0..40).map(|_| Kept::new(all.clone())).collect();
+    let part = [7; 4096];
+    let mut held = 0;
+    for kept in &mut connections {
+        while kept.push(&part) {
+            held += part.len();
+        }
+    }
+    assert_eq!((connections[0].len(), held), (256 << 10, 8 << 20));
+    assert_eq!(connections[0].pop(5000).len(), 5000);
+    assert_eq!(connections[0].pop(usize::MAX).len(), (256 << 10) - 5000);
+    // What one has no more, or took with it, others may have.
+    assert!(connections[0].is_empty() && connections[39].push(&part));
+    drop(connections.split_off(1));
+    assert!((0..64).all(|_| connections[0].push(&part)) && !connections[0].push(&part));
+}
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -483,7 +483,7 @@
     story(async {
         let boxed = HttpBox::start(|_, head| Some((named(head), false))).await;
         let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
-        for (count, all) in [(24, true), (400, false)] {
+        for (count, all) in [(24, true), (400, true), (4000, false)] {
             let before = boxed.seen.borrow().len();
             let requests: Vec<Vec<u8>> = (0..count).map(|_| read()).collect();
             let mut client = HttpClient::connect(front).await;
