--- a/tests/common/faults.c
+++ b/tests/common/faults.c
@@ -8,6 +8,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <stdarg.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,8 +20,8 @@
 #include <time.h>
 #include <unistd.h>
 
-enum kind { ACCEPT, ABORT, SOCKET, CONNECT, INTERRUPT, SHORT, DISK, HOLD, CLOCK, KINDS };
-static const char *const names[KINDS] = {"accept", "abort", "socket", "connect", "interrupt", "short", "disk", "hold", "clock"};
+enum kind { ACCEPT, ABORT, OPEN, SOCKET, CONNECT, INTERRUPT, SHORT, DISK, HOLD, CLOCK, KINDS };
+static const char *const names[KINDS] = {"accept", "abort", "open", "socket", "connect", "interrupt", "short", "disk", "hold", "clock"};
 static atomic_long values[KINDS];
 static atomic_long read_at = -1;
 static atomic_ulong drawn = 88172645463325252UL;
@@ -114,6 +115,17 @@
   if (is_stream(socket) && strikes(HOLD)) nanosleep(&span, NULL);
 }
 
+/* Files of settings alone: what the process is linked with and the plan itself are always there. */
+int open64(const char *path, int flags, ...) {
+  va_list rest;
+  va_start(rest, flags);
+  mode_t mode = va_arg(rest, mode_t);
+  va_end(rest);
+  const char *ending = strrchr(path, '.');
+  if (ending && strcmp(ending, ".json") == 0 && fails(OPEN, FAILURES(EMFILE, ENFILE, ENOMEM, EINTR, EIO))) return -1;
+  return REAL(open64)(path, flags, mode);
+}
+
 int accept4(int socket, struct sockaddr *at, socklen_t *length, int flags) {
   if (fails(ABORT, FAILURES(ECONNABORTED, EINTR, EPROTO))) return -1;
   if (fails(ACCEPT, FAILURES(ECONNABORTED, ENFILE, ENOBUFS, EMFILE, EINTR, ENOMEM, EPROTO))) return -1;
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::net::*;
-use shaletack::broker::Input;
+use shaletack::broker::{Input, Order};
 use shaletack::ending::End;
 use shaletack::interface::Settings;
 use shaletack::net::boxes::{Boxes, Carried, Passed};
@@ -464,3 +464,33 @@
         }
     });
 }
+
+/// What operators ask while a will is on its way stands in it or goes behind it: a successor that did not hear of a box's
+/// being taken out would send to it.
+#[test]
+fn an_operators_word_while_a_will_is_on_its_way_reaches_the_successor() {
+    story(async {
+        let (folder, me) = (folder("words"), initiator("n3", "127.0.0.1:5000"));
+        let nowhere = "127.0.0.1:9".parse().unwrap();
+        let host = host(&operator(&[(nowhere, 0), (nowhere, 1)]).settings);
+        let link = Link::new(host.clone(), me.clone(), &folder);
+        // More than a socket holds: its reader has to come for it.
+        let traces: Vec<_> = (0..60_000).map(|n| (Duration::from_secs(1), format!("{n:016x}"))).collect();
+        link.open(move || Will { traces: traces.clone(), ..will() });
+        let path = me.socket(&folder);
+        until(|| path.exists()).await;
+        let mut stream = BufReader::new(UnixStream::connect(&path).await.unwrap());
+        let hello = "{\"version\":2,\"me\":{\"name\":\"n3\",\"clients\":\"127.0.0.1:5000\"}}\n";
+        stream.write_all(hello.as_bytes()).await.unwrap();
+        until(|| host.part() < 1.0).await;
+        // The will is made, and not read.
+        assert!(!link.tell(Order::Suspend("s-00000001".into())).await, "nobody has carried it out yet");
+        let mut line = String::new();
+        tokio::io::AsyncBufReadExt::read_line(&mut stream, &mut line).await.unwrap();
+        assert!(line.starts_with("{\"Will\""));
+        line.clear();
+        let next = tokio::io::AsyncBufReadExt::read_line(&mut stream, &mut line);
+        tokio::time::timeout(Duration::from_secs(1), next).await.expect("the word follows").unwrap();
+        assert!(line.contains("Suspend") && line.contains("s-00000001"), "{line}");
+    });
+}
--- a/tests/etcd.rs
+++ b/tests/etcd.rs
@@ -72,3 +72,38 @@
         );
     });
 }
+
+/// A watch falls silent, and the call that follows gets no answer: what changed meanwhile counts as told 6 s after the
+/// silence began, and is there by then.
+#[test]
+fn a_silent_watch_and_a_lost_call_hide_no_change_for_six_seconds() {
+    story(async {
+        let agent = HttpBox::start(move |count, _| {
+            let kv = kv("s-1", "127.0.0.1:9");
+            match count {
+                0 => Some((
+                    answer(
+                        "200 OK",
+                        format!(r#"{{"header":{{"revision":"40"}},"kvs":[{kv}]}}"#).as_bytes(),
+                        0,
+                    ),
+                    false,
+                )),
+                1 => Some((lines(&[result(r#""header":{"revision":"40"},"created":true"#)]), false)),
+                2 => None,
+                3 => Some((answer("200 OK", br#"{"header":{"revision":"41"},"kvs":[]}"#, 0), false)),
+                _ => Some((lines(&[result(r#""header":{"revision":"41"},"created":true"#)]), false)),
+            }
+        })
+        .await;
+        let (_, _, host) = http_front(&[]).await;
+        actix_rt::spawn(etcd::follow(
+            host.clone(),
+            Etcd { address: agent.address, prefix: "/boxes/".into() },
+        ));
+        until(|| host.is_ready()).await;
+        until(|| agent.seen.borrow().len() == 2).await;
+        let took = until(|| !host.is_ready()).await;
+        assert!(took < std::time::Duration::from_secs(6), "{took:?}");
+    });
+}
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -458,3 +458,28 @@
         assert!(told <= left + 0.15, "number {number}: told {told}, {left} left");
     }
 }
+
+/// The file of settings can't be opened for a moment, at the start and at SIGHUP: it is read all the same, and discovery's
+/// move counts in time.
+#[test]
+fn a_configuration_that_can_not_be_opened_for_a_moment_counts() {
+    let stand_in = StandInBox::start(Duration::from_millis(3));
+    let agents = [(); 2].map(|()| StandInAgent::start(&[entry("s-00000001", stand_in.address, 0, "up", 0)]));
+    let text =
+        |agent: &StandInAgent| configuration(agent.address, 1000, r#""unit-mean":1,"units-top":1"#, "");
+    for round in 0..4 {
+        let name = format!("opens{round}");
+        let faults = Faults::new(&name, "open 700\n");
+        let (child, mut lines, _) = start(&name, &text(&agents[0]), &faults);
+        file(&format!("terms-{}-{name}.json", std::process::id()), &text(&agents[1]));
+        faults.set("open 1000\n");
+        std::thread::sleep(Duration::from_millis(30));
+        let begins = Instant::now();
+        child.signal("-HUP");
+        std::thread::sleep(SECOND / 2);
+        faults.set("open 700\n");
+        let told = lines.find(|line| line.contains("configuration is")).unwrap();
+        assert!(told.contains("the configuration is read again"), "{told}");
+        assert!(begins.elapsed() < 3 * SECOND, "{:?}", begins.elapsed());
+    }
+}
