Orders behind a will, settings that can't be opened for a moment, a lost call of etcd

Change: Link::greet opens the link in the step that makes the will, so that what operators ask from then on goes behind it. main.rs reads a file again for 2 s while it can't be opened or read (ReadFault::Passing), blocking at the start, waiting at SIGHUP. etcd.rs: 4 s of silence (4.5), 1 s for a call where the last one was answered within 0.5 s, else 3 s as before.

--- a/src/etcd.rs
+++ b/src/etcd.rs
@@ -13,15 +13,19 @@
 use awc::Client;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::warn;
 
+/// A call may take so long, where the last one took its time,
 const ANSWER: Duration = Duration::from_secs(3);
+/// and so long where etcd answers soon: one that gets no answer is lost, and the next one still tells in time.
+const ANSWER_SOON: Duration = Duration::from_secs(1);
+const SOON: Duration = Duration::from_millis(500);
 const FIRST_WAIT: Duration = Duration::from_millis(100);
 /// A change counts as told 6 s after etcd had it and could be reached: a call that fails and the wait after it take less.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 /// etcd says nothing while nothing changes; after so long the whole list tells whether a watch only seems to be open.
-const SILENT: Duration = Duration::from_millis(4500);
+const SILENT: Duration = Duration::from_millis(4000);
 const LIST_MOST: usize = 4 << 20;
 
 /// Why a watch ended.
@@ -37,18 +41,23 @@
 /// Follows the list; never ends.
 pub async fn follow(host: Host, etcd: Etcd) {
     let client = http_client(ANSWER);
-    let (mut revision, mut wait) = (None, FIRST_WAIT);
+    let (mut revision, mut wait, mut patience) = (None, FIRST_WAIT, ANSWER_SOON);
     loop {
         let before = revision;
         let why = match revision {
-            None => match range(&host, &client, &etcd).await {
-                Ok(at) => {
-                    revision = Some(at);
-                    continue;
+            None => {
+                let asked = Instant::now();
+                let answer = range(&host, &client, &etcd, patience).await;
+                patience = if asked.elapsed() < SOON { ANSWER_SOON } else { ANSWER };
+                match answer {
+                    Ok(at) => {
+                        revision = Some(at);
+                        continue;
+                    }
+                    Err(why) => why,
                 }
-                Err(why) => why,
-            },
-            Some(ref mut at) => match watch(&host, &client, &etcd, at).await {
+            }
+            Some(ref mut at) => match watch(&host, &client, &etcd, patience, at).await {
                 Over::Broken(why) => why,
                 Over::Compacted => {
                     revision = None;
@@ -79,7 +88,7 @@
     format!(r#""key":"{}","range_end":"{}""#, STANDARD.encode(prefix), STANDARD.encode(end))
 }
 
-async fn range(host: &Host, client: &Client, etcd: &Etcd) -> Result<u64, String> {
+async fn range(host: &Host, client: &Client, etcd: &Etcd, patience: Duration) -> Result<u64, String> {
     let url = format!("http://{}/v3/kv/range", etcd.address);
     let asked = async {
         let request = client.post(url).content_type("application/json");
@@ -90,7 +99,7 @@
         }
         response.body().limit(LIST_MOST).await.map_err(|e| format!("broke: {e}"))
     };
-    let body = tokio::time::timeout(ANSWER, asked).await.map_err(|_| "no answer")??;
+    let body = tokio::time::timeout(patience, asked).await.map_err(|_| "no answer")??;
     let mut text = body.to_vec();
     let value = json::parse(&mut text)?;
     let top = Look::object(&value, "the answer")?;
@@ -137,13 +146,13 @@
     Some(Member { id, address: None, zone, shard: 0, readiness: Readiness::Gone, up_since: None })
 }
 
-async fn watch(host: &Host, client: &Client, etcd: &Etcd, revision: &mut u64) -> Over {
+async fn watch(host: &Host, client: &Client, etcd: &Etcd, patience: Duration, revision: &mut u64) -> Over {
     let url = format!("http://{}/v3/watch", etcd.address);
     let (keys, from) = (keys(&etcd.prefix), *revision + 1);
     let create =
         format!(r#"{{"create_request":{{{keys},"start_revision":"{from}","progress_notify":true}}}}"#);
     let sent = client.post(url).content_type("application/json").send_body(create);
-    let response = match tokio::time::timeout(ANSWER, sent).await {
+    let response = match tokio::time::timeout(patience, sent).await {
         Ok(Ok(response)) if response.status().is_success() => response,
         Ok(Ok(response)) => return Over::Broken(format!("watch answered {}", response.status())),
         Ok(Err(error)) => return Over::Broken(format!("watch could not be asked: {error}")),
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,7 +25,7 @@
 use std::io::Write;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tracing::level_filters::LevelFilter;
@@ -52,6 +52,10 @@
 /// The first descriptor that a process can be handed beside the three that each has.
 const FIRST_HELD: usize = 3;
 
+/// A file of settings that can't be read just now is read again so often, and for so long in all: discovery's move counts
+/// 4 s after SIGHUP.
+const READ_AGAIN: Duration = Duration::from_millis(20);
+const READ_MOST: Duration = Duration::from_secs(2);
 /// What the process needs with no client at all, in MiB.
 const BASE_MB: u64 = 8;
 /// The most that one client's connection holds: a whole body, and the buffers round it.
@@ -212,19 +216,71 @@
 fn load(file: Option<String>) -> Result<(Config, String), String> {
     let file = file.or_else(|| std::env::var("ROUTER_CONFIG").ok());
     let file = file.ok_or("no configuration: name a file, or set ROUTER_CONFIG")?;
-    let config = read_config(&file, |name| std::env::var(name).ok())?;
+    let config = read_at_start(|| read_config(&file, |name| std::env::var(name).ok()))?;
     Ok((config, file))
 }
 
-fn read_config(file: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let mut text = std::fs::read(file).map_err(|e| format!("{file}: {e}"))?;
-    config::read(&mut text, env).map_err(|fault| format!("{file}: {fault}"))
+/// Why a file of settings can't be used.
+enum ReadFault {
+    /// It can't be read just now: the system has no descriptor for it, or the disk fails.
+    Passing(String),
+    /// It is not there, or what it says is wrong.
+    Wrong(String),
+}
+
+impl ReadFault {
+    fn why(self) -> String {
+        let (ReadFault::Passing(why) | ReadFault::Wrong(why)) = self;
+        why
+    }
+}
+
+fn read_file(file: &str) -> Result<Vec<u8>, ReadFault> {
+    std::fs::read(file).map_err(|error| {
+        let why = format!("{file}: {error}");
+        if sockets::is_passing(&error) {
+            ReadFault::Passing(why)
+        } else {
+            ReadFault::Wrong(why)
+        }
+    })
+}
+
+/// At the start: reads again, for a while, what can't be read just now.
+fn read_at_start<T>(read: impl Fn() -> Result<T, ReadFault>) -> Result<T, String> {
+    let until = Instant::now() + READ_MOST;
+    loop {
+        match read() {
+            Err(ReadFault::Passing(_)) if Instant::now() < until => std::thread::sleep(READ_AGAIN),
+            done => return done.map_err(ReadFault::why),
+        }
+    }
+}
+
+/// The same, while clients are served.
+async fn read_while_serving<T>(read: impl Fn() -> Result<T, ReadFault>) -> Result<T, String> {
+    let until = Instant::now() + READ_MOST;
+    loop {
+        match read() {
+            Err(ReadFault::Passing(_)) if Instant::now() < until => tokio::time::sleep(READ_AGAIN).await,
+            done => return done.map_err(ReadFault::why),
+        }
+    }
+}
+
+fn read_config(file: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, ReadFault> {
+    let mut text = read_file(file)?;
+    config::read(&mut text, env).map_err(|fault| ReadFault::Wrong(format!("{file}: {fault}")))
 }
 
 fn load_operator(file: &str) -> Result<Operator, String> {
-    let mut text = std::fs::read(file).map_err(|e| format!("{file}: {e}"))?;
+    read_at_start(|| read_operator(file))
+}
+
+fn read_operator(file: &str) -> Result<Operator, ReadFault> {
+    let mut text = read_file(file)?;
     let each = |faults: operator::Faults| faults.0.iter().map(|f| format!("{file}: {f}")).collect::<Vec<_>>();
-    operator::read(&mut text).map_err(|faults| each(faults).join("\n"))
+    operator::read(&mut text).map_err(|faults| ReadFault::Wrong(each(faults).join("\n")))
 }
 
 /// The core's clock, where it goes on from nobody's: any beginning does, and versions before this one had this one.
@@ -250,9 +306,9 @@
 
 /// Reads a file again at each SIGHUP. One that can't be used is a line in the log; what was read before
 /// stays in force.
-async fn at_each<T>(mut hangup: Signal, read: impl Fn() -> Result<T, String>, mut put: impl FnMut(T)) {
+async fn at_each<T>(mut hangup: Signal, read: impl Fn() -> Result<T, ReadFault>, mut put: impl FnMut(T)) {
     while hangup.recv().await.is_some() {
-        match read() {
+        match read_while_serving(&read).await {
             Ok(new) => put(new),
             Err(faults) => warn!(why = faults.replace('\n', "; "), "the new configuration is not used"),
         }
@@ -297,7 +353,7 @@
             list = new.etcd;
         }
     };
-    actix_rt::spawn(at_each(hangup, move || load_operator(&file), put));
+    actix_rt::spawn(at_each(hangup, move || read_operator(&file), put));
     let listener = sockets::listen(operator.listen).await.map_err(|e| format!("{}: {e}", operator.listen))?;
     let place = listener.local_addr().map_err(|e| format!("{}: {e}", operator.listen))?;
     info!(at = %place, exports = operator.exports.len(), "listens for NBD");
@@ -407,7 +463,7 @@
     let read = move || {
         let new = read_config(&file, unless_moved)?;
         match config::lacks(&last.borrow(), &new.text) {
-            Some(key) => Err(format!("{file}: there is no key '{key}'")),
+            Some(key) => Err(ReadFault::Wrong(format!("{file}: there is no key '{key}'"))),
             None => Ok(new),
         }
     };
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -269,8 +269,8 @@
                 let will = will.clone();
                 // Whoever connects and says nothing keeps no successor waiting.
                 actix_rt::spawn(async move {
-                    if let Some(stream) = link.greet(stream, &*will).await {
-                        link.attend(stream).await;
+                    if let Some((stream, messages)) = link.greet(stream, &*will).await {
+                        link.attend(stream, messages).await;
                         link.ended();
                         link.0.gone.notify_one();
                     }
@@ -279,8 +279,20 @@
         });
     }
 
-    /// The connection, where it is a successor's; that gets the will, and half of every budget.
-    async fn greet(&self, stream: UnixStream, will: &dyn Fn() -> Will) -> Option<BufReader<Connection>> {
+    /// From now on messages for the other process wait here until [`Link::attend`] carries them.
+    fn connect(&self) -> mpsc::UnboundedReceiver<Message> {
+        let (out, messages) = mpsc::unbounded_channel();
+        self.0.peer.replace(Some(out));
+        messages
+    }
+
+    /// The connection, where it is a successor's; that gets the will, and half of every budget. What operators ask from the
+    /// moment in which the will is made goes behind it.
+    async fn greet(
+        &self,
+        stream: UnixStream,
+        will: &dyn Fn() -> Will,
+    ) -> Option<(BufReader<Connection>, mpsc::UnboundedReceiver<Message>)> {
         let user = stream.peer_cred().ok()?.uid();
         let mut stream = BufReader::new(Uninterrupted(stream));
         let mut hello = Vec::new();
@@ -297,23 +309,22 @@
             Ok(()) if self.0.taken.get() || self.is_shared() => Reply::Busy,
             Ok(()) => Reply::Will(Box::new(will())),
         };
-        let given = matches!(reply, Reply::Will(_));
-        if given {
+        let messages = matches!(reply, Reply::Will(_)).then(|| {
             self.0.taken.set(true);
             self.0.host.feed(Input::Part(HALF));
-        }
+            self.connect()
+        });
         let line = simd_json::serde::to_string(&reply).ok()? + "\n";
         let sent = tokio::time::timeout(ANSWERED, stream.write_all(line.as_bytes())).await;
-        if !given {
-            return None;
-        }
+        let messages = messages?;
         if !matches!(sent, Ok(Ok(()))) {
+            self.0.peer.take();
             self.0.taken.set(false);
             self.0.host.feed(Input::Part(1.0));
             return None;
         }
         info!("a successor has started: it and this process share every budget");
-        Some(stream)
+        Some((stream, messages))
     }
 
     /// Whether this is a successor's hello; why not.
@@ -336,21 +347,19 @@
 
     /// Stays in touch with the predecessor whose will this process has, until it ends.
     pub fn keep(&self, stream: BufReader<Connection>) {
-        let link = self.clone();
+        let (link, messages) = (self.clone(), self.connect());
         actix_rt::spawn(async move {
-            link.attend(stream).await;
+            link.attend(stream, messages).await;
             link.ended();
         });
     }
 
     /// Carries messages both ways for as long as the other process is there.
-    async fn attend(&self, stream: BufReader<Connection>) {
+    async fn attend(&self, stream: BufReader<Connection>, mut messages: mpsc::UnboundedReceiver<Message>) {
         let (read, write) = stream.into_inner().0.into_split();
         let (read, mut write) = (Uninterrupted(read), Uninterrupted(write));
-        let (out, mut lines) = mpsc::unbounded_channel::<Message>();
-        self.0.peer.replace(Some(out));
         actix_rt::spawn(async move {
-            while let Some(message) = lines.recv().await {
+            while let Some(message) = messages.recv().await {
                 let Ok(mut line) = simd_json::serde::to_string(&message) else { continue };
                 line.push('\n');
                 if write.write_all(line.as_bytes()).await.is_err() {
--- a/src/runtime/sockets.rs
+++ b/src/runtime/sockets.rs
@@ -21,6 +21,7 @@
 
 // Numbers of errors on Linux.
 const EINTR: i32 = 4;
+const EIO: i32 = 5;
 const EAGAIN: i32 = 11;
 const ENOMEM: i32 = 12;
 const ENFILE: i32 = 23;
@@ -33,6 +34,11 @@
     matches!(error.raw_os_error(), Some(ENOMEM | ENFILE | EMFILE | ENOBUFS))
 }
 
+/// A file can't be opened or read just now, which says nothing of what is in it.
+pub fn is_passing(error: &io::Error) -> bool {
+    is_shortage(error) || matches!(error.raw_os_error(), Some(EINTR | EIO | EAGAIN))
+}
+
 /// How an attempt ended whose connection could not be begun or did not come up. What failed on this machine says nothing
 /// of the box.
 pub fn end_of_connect(error: &io::Error) -> End {
