--- a/tests/common/faults.c
+++ b/tests/common/faults.c
@@ -20,8 +20,8 @@
 #include <time.h>
 #include <unistd.h>
 
-enum kind { ACCEPT, ABORT, OPEN, SOCKET, CONNECT, INTERRUPT, SHORT, DISK, HOLD, CLOCK, KINDS };
-static const char *const names[KINDS] = {"accept", "abort", "open", "socket", "connect", "interrupt", "short", "disk", "hold", "clock"};
+enum kind { ACCEPT, ABORT, OPEN, SOCKET, CONNECT, LOCAL, INTERRUPT, SHORT, DISK, HOLD, CLOCK, KINDS };
+static const char *const names[KINDS] = {"accept", "abort", "open", "socket", "connect", "local", "interrupt", "short", "disk", "hold", "clock"};
 static atomic_long values[KINDS];
 static atomic_long read_at = -1;
 static atomic_ulong drawn = 88172645463325252UL;
@@ -139,6 +139,7 @@
 
 int connect(int socket, const struct sockaddr *to, socklen_t length) {
   if (fails(CONNECT, FAILURES(EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, EINTR, ENOBUFS))) return -1;
+  if (fails(LOCAL, FAILURES(EADDRNOTAVAIL, ENOBUFS, EAGAIN, EINTR))) return -1;
   return REAL(connect)(socket, to, length);
 }
 
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -123,7 +123,7 @@
 struct Site {
     boxes: Vec<StandInBox>,
     _agent: StandInAgent,
-    _faults: Faults,
+    faults: Faults,
     child: Running,
     lines: Box<dyn Iterator<Item = String>>,
     at: SocketAddr,
@@ -142,7 +142,7 @@
         let domain = r#""unit-mean":1,"units-top":1,"shards":4,"changes-data":[false,true]"#;
         let text = configuration(agent.address, deadline_ms, domain, r#""stop-sending-within":1000000000"#);
         let (child, lines, at) = start(name, &text, &faults);
-        Site { boxes, _agent: agent, _faults: faults, child, lines, at }
+        Site { boxes, _agent: agent, faults, child, lines, at }
     }
 
     /// How often each request came to a box, by its trace id.
@@ -483,3 +483,26 @@
         assert!(begins.elapsed() < 3 * SECOND, "{:?}", begins.elapsed());
     }
 }
+
+/// For 0.15 s this machine has no socket, port or memory for a connection: attempts wait for one, no longer than a
+/// connection may take, and nothing is said of their boxes.
+#[test]
+fn requests_outlast_a_moment_without_sockets() {
+    for plan in ["socket 1000\n", "local 1000\n"] {
+        let name = format!("moment-{}", &plan[..5]);
+        let site = Site::start(&name, 4, Duration::from_millis(3), 1000, "");
+        let mut clients: Vec<Client> = (0..8).map(|_| Client::connect(site.at).unwrap()).collect();
+        site.faults.set(plan);
+        std::thread::sleep(Duration::from_millis(20));
+        for (number, client) in clients.iter_mut().enumerate() {
+            let (method, class) = if number % 2 == 0 { ("GET", "leitura") } else { ("PUT", "gravacao") };
+            client.send(&request(method, class, number as u16 / 2, SECOND, "").0).unwrap();
+        }
+        std::thread::sleep(Duration::from_millis(150));
+        site.faults.set("");
+        for client in &mut clients {
+            let ending = client.answer(2 * SECOND);
+            assert!(matches!(ending, Ending::Answered { status: 200, .. }), "{plan}: {ending:?}");
+        }
+    }
+}
