Attempts wait for a socket that this machine has not just now

Change: runtime/sockets.rs connect: what fails on this machine is tried again each 5 ms for 0.9 of the time that a connection may take, over HTTP and NBD; then the end is NoDescriptor as before. Nothing was written, so the attempt can be taken back all that time. What connections keep of requests sent ahead is 2 MiB in all (8 before): with BASE_MB it stays within the least memory, 32 MB.

--- a/src/nbd/boxes.rs
+++ b/src/nbd/boxes.rs
@@ -4,7 +4,7 @@
 use crate::broker::{News, Reply};
 use crate::ending::End;
 use crate::runtime::host::{Errand, Tell};
-use crate::runtime::sockets::{end_of_connect, Uninterrupted};
+use crate::runtime::sockets::{connect, end_of_connect, Uninterrupted};
 use bytes::Bytes;
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use std::cell::RefCell;
@@ -96,7 +96,8 @@
             return Ok(link);
         }
         let open = async {
-            let stream = TcpStream::connect(to).await.map_err(|why| end_of_connect(&why))?;
+            let connected = connect(to, self.connect_timeout).await;
+            let stream = connected.map_err(|why| end_of_connect(&why))?;
             let _ = stream.set_nodelay(true);
             Link::handshake(stream, &self.export).await.map_err(|_| End::HandshakeFailed)
         };
--- a/src/net/ahead.rs
+++ b/src/net/ahead.rs
@@ -8,7 +8,7 @@
 
 /// Bytes of one connection that wait, and of all connections of a front.
 const KEPT_MOST: usize = 256 * 1024;
-const KEPT_BY_ALL: usize = 8 << 20;
+const KEPT_BY_ALL: usize = 2 << 20;
 /// Reads this close together count as one.
 const TOGETHER: Duration = Duration::from_millis(2);
 
--- a/src/net/boxes.rs
+++ b/src/net/boxes.rs
@@ -5,7 +5,7 @@
 use crate::ending::End;
 use crate::interface::Settings;
 use crate::runtime::host::{Errand, Host, Tell};
-use crate::runtime::sockets::{address_of, end_of_connect};
+use crate::runtime::sockets::{address_of, connect, end_of_connect};
 use actix_http::body::{BodyStream, SizedStream};
 use actix_http::error::ParseError;
 use actix_http::header::HeaderValue;
@@ -26,7 +26,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// The most of a body that is held whole, and sent again where that is allowed.
@@ -125,7 +124,7 @@
             let (manner, open) = (manner.clone(), open.clone());
             async move {
                 let uri = info.request().clone();
-                let socket = TcpStream::connect(address_of(&uri)?).await.map_err(TcpError::Io)?;
+                let socket = connect(address_of(&uri)?, times.connect).await.map_err(TcpError::Io)?;
                 let _ = socket.set_nodelay(true);
                 Ok::<_, TcpError>(Connection::new(uri, BoxStream::new(socket, manner, Counted::new(&open))))
             }
--- a/src/runtime/sockets.rs
+++ b/src/runtime/sockets.rs
@@ -14,10 +14,14 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
 /// A listener that the system has no socket for is asked for again so often, and for so long in all.
 const BIND_AGAIN: Duration = Duration::from_millis(20);
 const BIND_MOST: Duration = Duration::from_secs(3);
+/// A connection that failed on this machine is tried again so often, for that part of the time that it may take.
+const CONNECT_AGAIN: Duration = Duration::from_millis(5);
+const CONNECT_PART: f64 = 0.9;
 
 // Numbers of errors on Linux.
 const EINTR: i32 = 4;
@@ -39,11 +43,29 @@
     is_shortage(error) || matches!(error.raw_os_error(), Some(EINTR | EIO | EAGAIN))
 }
 
-/// How an attempt ended whose connection could not be begun or did not come up. What failed on this machine says nothing
-/// of the box.
+/// A connection failed on this machine, which says nothing of the other side.
+fn is_local(error: &io::Error) -> bool {
+    is_shortage(error) || matches!(error.raw_os_error(), Some(EINTR | EAGAIN | EADDRNOTAVAIL))
+}
+
+/// Connects to a box; what fails on this machine is tried again while the connection may take.
+///
+/// # Errors
+/// It failed in another way, or there was no socket all that time.
+pub async fn connect(to: SocketAddr, within: Duration) -> io::Result<TcpStream> {
+    // The caller's own clock for it is not to run out before this one says why.
+    let until = Instant::now() + within.mul_f64(CONNECT_PART);
+    loop {
+        match TcpStream::connect(to).await {
+            Err(why) if is_local(&why) && Instant::now() < until => tokio::time::sleep(CONNECT_AGAIN).await,
+            done => return done,
+        }
+    }
+}
+
+/// How an attempt ended whose connection could not be begun or did not come up.
 pub fn end_of_connect(error: &io::Error) -> End {
-    let local = matches!(error.raw_os_error(), Some(EINTR | EAGAIN | EADDRNOTAVAIL));
-    if local || is_shortage(error) {
+    if is_local(error) {
         End::NoDescriptor
     } else {
         End::Unreachable
@@ -63,10 +85,10 @@
 /// # Errors
 /// It failed in another way, or the system had none for 3 s.
 pub async fn retry_shortage<T, F: Future<Output = io::Result<T>>>(make: impl Fn() -> F) -> io::Result<T> {
-    let until = tokio::time::Instant::now() + BIND_MOST;
+    let until = Instant::now() + BIND_MOST;
     loop {
         match make().await {
-            Err(why) if is_shortage(&why) && tokio::time::Instant::now() < until => {
+            Err(why) if is_shortage(&why) && Instant::now() < until => {
                 tokio::time::sleep(BIND_AGAIN).await;
             }
             done => return done,
