Terms: a box that starts again in its warm-up, and a log that can't be written, hold

Cause: clauses that no test played on a real process.

Change: a box listed anew within its warm-up, at once and 1.5 s late, twice, is in slow start from its own start on; standard error on a full disk (/dev/full) holds up no start, answer or stop. keep_reading ends where nobody listens any more.

--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -31,12 +31,13 @@
         let stop = stop.clone();
         std::thread::spawn(move || {
             let patience = Duration::from_millis(1200);
-            let mut client = Client::connect(to).unwrap();
-            while !stop.load(Ordering::Relaxed) {
+            let mut client = Client::connect(to);
+            while let Some(connected) = client.as_mut().ok().filter(|_| !stop.load(Ordering::Relaxed)) {
                 let (request, _) = request("GET", "leitura", shard, patience, "");
-                match client.ask(&request, 2 * patience) {
-                    Ok(Ending::Answered { kept: true, .. }) => {}
-                    _ => client = Client::connect(to).unwrap(),
+                let ending = connected.ask(&request, 2 * patience);
+                if !ending.is_ok_and(|ending| ending.keeps()) {
+                    // Where nobody listens any more the test is over.
+                    client = Client::connect(to);
                 }
             }
         });
@@ -506,3 +507,81 @@
         }
     }
 }
+
+/// A box in slow start that starts once more before it is warm, and is listed late, twice, or in a whole list, begins its
+/// warm-up anew each time, and never earlier.
+#[test]
+fn a_box_that_starts_again_within_its_warm_up_is_in_slow_start_again() {
+    let domain = r#""cold-bears":20,"unit-mean":1,"units-top":1,"shards":2"#;
+    let rules = r#""overload-factor":3,"start-capacity":0.16,"tip-after":1000000000,"warm-up":6000000000,"stop-sending-within":1000000000"#;
+    // How long after its second start the list tells of it.
+    let plays = [0_u64, 1500].map(|late_ms| {
+        std::thread::spawn(move || {
+            let old = StandInBox::start(Duration::from_millis(5));
+            let agent = StandInAgent::start(&[entry("s-00000001", old.address, 1, "up", 0)]);
+            let name = format!("again{late_ms}");
+            let text = configuration(agent.address, 1200, domain, rules);
+            let (_child, _lines, at) = start(&name, &text, &Faults::new(&name, ""));
+            std::thread::sleep(SECOND);
+            let joins = StandInBox::start(Duration::from_millis(5));
+            agent.tell(entry("s-00000002", joins.address, 0, "up", unix_ms()));
+            let stop = keep_reading(at, 12, 0);
+            std::thread::sleep(4 * SECOND);
+            let again = unix_ms();
+            std::thread::sleep(Duration::from_millis(late_ms));
+            // Told twice, the second time as it was.
+            agent.tell(entry("s-00000002", joins.address, 0, "up", again));
+            let told = Instant::now();
+            std::thread::sleep(SECOND / 2);
+            agent.tell(entry("s-00000002", joins.address, 0, "up", again));
+            std::thread::sleep(5 * SECOND);
+            stop.store(true, Ordering::Relaxed);
+            (late_ms, joins.by_second(told, 5))
+        })
+    });
+    for play in plays {
+        let (late_ms, counts) = play.join().unwrap();
+        for (second, count) in counts.iter().enumerate() {
+            let age = second as f64 + 1.0 + late_ms as f64 / 1000.0;
+            if age > 6.0 {
+                // Warm by then, for the list told how long ago it started.
+                continue;
+            }
+            // What was sent just before it was told may still come.
+            let bears = slow_start_bears(age) + 12;
+            assert!(
+                *count <= bears,
+                "told {late_ms} ms late: second {second}, {count} of {bears}: {counts:?}"
+            );
+        }
+        assert!(counts[4] > 20, "{counts:?}");
+    }
+}
+
+/// A log that nobody takes, or whose disk is full, holds nothing up.
+#[test]
+fn a_log_that_can_not_be_written_holds_nothing_up() {
+    let stand_in = StandInBox::start(Duration::from_millis(3));
+    let agent = StandInAgent::start(&[entry("s-00000001", stand_in.address, 0, "up", 0)]);
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = held.local_addr().unwrap();
+    drop(held);
+    let text = configuration(agent.address, 1000, r#""unit-mean":1,"units-top":1"#, "");
+    let path = file(
+        &format!("terms-{}-full.json", std::process::id()),
+        &text.replace("127.0.0.1:0", &at.to_string()),
+    );
+    let full = std::fs::OpenOptions::new().write(true).open("/dev/full").unwrap();
+    let mut command = shaletack(&["--config", &path]);
+    let mut child = Running(command.stderr(full).spawn().unwrap());
+    let mut client = None;
+    for _ in 0..200 {
+        std::thread::sleep(Duration::from_millis(10));
+        client = client.or_else(|| Client::connect(at).ok());
+    }
+    let mut client = client.expect("it listens");
+    let (request, _) = request("GET", "leitura", 0, SECOND, "");
+    assert!(matches!(client.ask(&request, 2 * SECOND), Ok(Ending::Answered { status: 200, .. })));
+    child.signal("-TERM");
+    assert!(child.0.wait().unwrap().success());
+}
