--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, Interest};
-use tokio::net::{UnixListener, UnixStream};
+use tokio::net::{TcpStream, UnixListener, UnixStream};
 use tokio::sync::Notify;
 
 /// A client that goes is noticed behind all that it sent ahead: the close was not read past 16 KiB.
@@ -494,3 +494,65 @@
         assert!(line.contains("Suspend") && line.contains("s-00000001"), "{line}");
     });
 }
+
+/// The same where the call that is out as the 6 s end gets no answer: they are over all the same.
+#[test]
+fn a_call_that_is_out_keeps_no_refused_host_sending() {
+    story(async {
+        let boxed = HttpBox::start(|_, _| Some((answer("200 OK", b"ok", 0), false))).await;
+        let start = Instant::now();
+        let agent = peer(move |stream, _| async move {
+            let mut s = BufReader::new(stream);
+            message(&mut s).await;
+            if start.elapsed() < Duration::from_millis(4500) {
+                s.write_all(&answer("503 Service Unavailable", b"", 0)).await.unwrap();
+            } else {
+                say(&mut s, "").await;
+            }
+        })
+        .await;
+        let (front, _, host) = http_front(&[(boxed.address, 0)]).await;
+        let settings = Settings { list_on_request: true, ..Settings::clone(&host.settings()) };
+        host.feed(Input::Settings(Box::new(settings)));
+        let start = Instant::now();
+        let _watch = Watch::start(host.clone(), agent, 1, 1);
+        let mut client = HttpClient::connect(front).await;
+        let request = || platform_request("GET", "leitura", 0, 1, b"");
+        while client.ask(&request()).await.0 == 200 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        // The first refusal comes up to 0.1 s after the start.
+        assert!((5.9..6.4).contains(&start.elapsed().as_secs_f64()), "{:?}", start.elapsed());
+    });
+}
+
+/// A whole call that waits for the other of two versions is not the one that gives way to callers who say nothing.
+#[test]
+fn a_whole_call_does_not_give_way_to_callers_that_say_nothing() {
+    story(async {
+        let (folder, me) = (folder("calls"), initiator("n3", "127.0.0.1:5000"));
+        let boxes = operator(&[("127.0.0.1:9".parse().unwrap(), 0), ("127.0.0.1:9".parse().unwrap(), 1)]);
+        let host = host(&boxes.settings);
+        host.feed(Input::List(boxes.boxes.clone()));
+        let link = Link::new(host.clone(), me.clone(), &folder);
+        link.open(will);
+        until(|| me.socket(&folder).exists()).await;
+        // A successor that says nothing more: a call waits for it.
+        let _successor = handover::ask(&me, &folder).await.unwrap().expect("the will");
+        until(|| link.is_shared()).await;
+        let (listener, place) = loopback().await;
+        let ready = Rc::new(Cell::new(true));
+        actix_rt::spawn(shaletack::net::management::serve(host.clone(), link, listener, ready));
+        let id = boxes.boxes.entries[0].id.clone();
+        let mut whole = BufReader::new(TcpStream::connect(place).await.unwrap());
+        let call = format!("POST /v1/targets/{id}/suspend HTTP/1.1\r\nHost: a\r\n\r\n");
+        whole.write_all(call.as_bytes()).await.unwrap();
+        until(|| !host.look(|broker| broker.suspended()).is_empty()).await;
+        let mut silent = Vec::new();
+        for _ in 0..3 * shaletack::net::management::PLACES {
+            silent.push(TcpStream::connect(place).await.unwrap());
+        }
+        let (head, _) = message(&mut whole).await.expect("an answer");
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    });
+}
