Long lists leave room in the log; ways that are lost lose no request

Change: Broker::listed tells 25 changed entries one by one, then how many more (Notice::ListedBeside). faults.c: peer, connections that the process made end in ETIMEDOUT, EHOSTUNREACH or a reset. a_log_that_can_not_be_written failed once in a full run of its file: its client connected at once and asked 2 s later, which is when a silent newcomer is closed; it asks at once now.

--- a/crates/core/src/broker.rs
+++ b/crates/core/src/broker.rs
@@ -27,6 +27,8 @@
 const OLD_CLASSES: Duration = Duration::from_secs(5);
 /// Zones that the settings do not name are numbered from here on.
 const UNLISTED: u16 = 0x8000;
+/// Entries of one list that are told one by one: the log has a bound, and other lines have to find room in it.
+const LISTED_MOST: usize = 25;
 /// The least span between two starts of one box.
 const NANO: Duration = Duration::from_nanos(1);
 /// Boxes are replaced by new ones all day; past so many names those that are gone are forgotten.
@@ -818,7 +820,7 @@
             self.addresses.clear();
             self.heard.values_mut().for_each(|h| h.member.readiness = Readiness::Gone);
         }
-        let mut lines = Vec::new();
+        let (mut lines, mut changed) = (Vec::new(), 0);
         for member in &members.entries {
             let node = node_number(&member.id);
             if member.readiness == Readiness::Gone {
@@ -829,12 +831,19 @@
                 self.addresses.extend(member.address.map(|a| (node, a)));
             }
             if self.heard.get(&member.id).is_none_or(|heard| heard.member != *member) {
-                let (revision, kind, member) = (members.revision, members.kind, member.clone());
-                effects.push(Effect::Log(Notice::Listed { revision, kind, member }));
+                changed += 1;
+                if changed <= LISTED_MOST {
+                    let (revision, kind, member) = (members.revision, members.kind, member.clone());
+                    effects.push(Effect::Log(Notice::Listed { revision, kind, member }));
+                }
             }
             self.hear_of(at, member);
             lines.extend(self.line(&member.id));
         }
+        if changed > LISTED_MOST {
+            let (revision, more) = (members.revision, changed - LISTED_MOST);
+            effects.push(Effect::Log(Notice::ListedBeside { revision, more }));
+        }
         if self.heard.len() > HEARD_MOST {
             self.heard.retain(|_, h| h.suspended || h.member.readiness != Readiness::Gone);
         }
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -17,6 +17,13 @@
         /// The entry.
         member: Member,
     },
+    /// Entries of the same list beside those, which are not told one by one.
+    ListedBeside {
+        /// The list's version.
+        revision: u64,
+        /// How many.
+        more: usize,
+    },
     /// What a predecessor left has been taken over.
     Inherited {
         /// The version of its list.
--- a/src/runtime/log.rs
+++ b/src/runtime/log.rs
@@ -105,6 +105,7 @@
             let (standing, shard) = (member.readiness, member.shard);
             info!(id = member.id, ?standing, shard, at, up_since, revision, ?kind, "list");
         }
+        Notice::ListedBeside { revision, more } => info!(more, revision, "list: others changed as well"),
         Notice::Inherited { revision, boxes, suspended, drained } => {
             info!(boxes, revision, suspended, drained, "inherited");
         }
--- a/tests/common/faults.c
+++ b/tests/common/faults.c
@@ -20,10 +20,11 @@
 #include <time.h>
 #include <unistd.h>
 
-enum kind { ACCEPT, ABORT, OPEN, SOCKET, CONNECT, LOCAL, INTERRUPT, SHORT, DISK, HOLD, CLOCK, KINDS };
-static const char *const names[KINDS] = {"accept", "abort", "open", "socket", "connect", "local", "interrupt", "short", "disk", "hold", "clock"};
+enum kind { ACCEPT, ABORT, OPEN, SOCKET, CONNECT, LOCAL, PEER, INTERRUPT, SHORT, DISK, HOLD, CLOCK, KINDS };
+static const char *const names[KINDS] = {"accept", "abort", "open", "socket", "connect", "local", "peer", "interrupt", "short", "disk", "hold", "clock"};
 static atomic_long values[KINDS];
 static atomic_long read_at = -1;
+static atomic_uchar connected[4096];
 static atomic_ulong drawn = 88172645463325252UL;
 
 #define READ_EVERY_MS 5
@@ -95,6 +96,12 @@
   return fstat(file, &about) == 0 && S_ISREG(about.st_mode);
 }
 
+/* The way to whoever this process connected to is lost. */
+static int is_cut_off(int socket) {
+  int known = socket >= 0 && socket < (int)sizeof(connected) && connected[socket];
+  return known && fails(PEER, FAILURES(ETIMEDOUT, EHOSTUNREACH, ECONNRESET));
+}
+
 static int is_interrupted(int socket) {
   return is_stream(socket) && fails(INTERRUPT, FAILURES(EINTR));
 }
@@ -129,7 +136,9 @@
 int accept4(int socket, struct sockaddr *at, socklen_t *length, int flags) {
   if (fails(ABORT, FAILURES(ECONNABORTED, EINTR, EPROTO))) return -1;
   if (fails(ACCEPT, FAILURES(ECONNABORTED, ENFILE, ENOBUFS, EMFILE, EINTR, ENOMEM, EPROTO))) return -1;
-  return with_little_room(REAL(accept4)(socket, at, length, flags));
+  int accepted = REAL(accept4)(socket, at, length, flags);
+  if (accepted >= 0 && accepted < (int)sizeof(connected)) connected[accepted] = 0;
+  return with_little_room(accepted);
 }
 
 int socket(int domain, int type, int protocol) {
@@ -140,16 +149,17 @@
 int connect(int socket, const struct sockaddr *to, socklen_t length) {
   if (fails(CONNECT, FAILURES(EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, EINTR, ENOBUFS))) return -1;
   if (fails(LOCAL, FAILURES(EADDRNOTAVAIL, ENOBUFS, EAGAIN, EINTR))) return -1;
+  if (socket >= 0 && socket < (int)sizeof(connected)) connected[socket] = is_inet(socket);
   return REAL(connect)(socket, to, length);
 }
 
 ssize_t recv(int socket, void *bytes, size_t length, int flags) {
-  return is_interrupted(socket) ? -1 : REAL(recv)(socket, bytes, length, flags);
+  return is_interrupted(socket) || is_cut_off(socket) ? -1 : REAL(recv)(socket, bytes, length, flags);
 }
 
 ssize_t send(int socket, const void *bytes, size_t length, int flags) {
   hold_up(socket);
-  return is_interrupted(socket) ? -1 : REAL(send)(socket, bytes, length, flags);
+  return is_interrupted(socket) || is_cut_off(socket) ? -1 : REAL(send)(socket, bytes, length, flags);
 }
 
 ssize_t writev(int socket, const struct iovec *parts, int count) {
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -574,14 +574,36 @@
     let full = std::fs::OpenOptions::new().write(true).open("/dev/full").unwrap();
     let mut command = shaletack(&["--config", &path]);
     let mut child = Running(command.stderr(full).spawn().unwrap());
-    let mut client = None;
-    for _ in 0..200 {
+    let connect = || {
         std::thread::sleep(Duration::from_millis(10));
-        client = client.or_else(|| Client::connect(at).ok());
-    }
-    let mut client = client.expect("it listens");
+        Client::connect(at).ok()
+    };
+    let mut client = std::iter::repeat_with(connect).take(500).flatten().next().expect("it listens");
     let (request, _) = request("GET", "leitura", 0, SECOND, "");
     assert!(matches!(client.ask(&request, 2 * SECOND), Ok(Ending::Answered { status: 200, .. })));
     child.signal("-TERM");
     assert!(child.0.wait().unwrap().success());
 }
+
+/// Connections to boxes and to the agent end in ETIMEDOUT, EHOSTUNREACH or a reset, as they are read and as they are
+/// written: nothing lost, nothing foreign, no write twice.
+#[test]
+fn ways_that_are_lost_lose_no_request() {
+    let site = Site::start("ways", 4, Duration::from_millis(3), 1000, "peer 20\ninterrupt 20\n");
+    let outcomes = traffic(site.at, 12, 4, SECOND, 4 * SECOND);
+    site.is_kept(&outcomes);
+    assert!(outcomes.served > 500 && outcomes.failed_writes > 0, "{outcomes:?}");
+}
+
+/// The log is bounded, and the line that says where clients connect is in it whatever the list holds.
+#[test]
+fn a_long_list_leaves_room_in_the_log() {
+    let stand_in = StandInBox::start(Duration::from_millis(3));
+    let entries: Vec<String> =
+        (1..=400).map(|n| entry(&format!("s-{n:08x}"), stand_in.address, n, "up", 0)).collect();
+    let agent = StandInAgent::start(&entries);
+    let faults = Faults::new("long", "");
+    // It waits for that line.
+    let (_child, _lines, at) = start("long", &configuration(agent.address, 1000, "", ""), &faults);
+    assert!(Client::connect(at).is_ok());
+}
