The decision module is split by what it decides: health, limits, slow start

Change: choice/health.rs (what answers and time-outs say of a node), choice/limits.rs (units of a volume, the budget for further attempts), choice/slow_start.rs, each with the constants that only it uses. Functions move unchanged, but for their visibility.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -10,8 +10,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+mod health;
 mod hearsay;
 mod inherit;
+mod limits;
+mod slow_start;
 
 const SECOND: Duration = Duration::from_secs(1);
 const NANO: Duration = Duration::from_nanos(1);
@@ -20,20 +23,15 @@
 const IDLE: Duration = LEASE.saturating_mul(30); // Volumes that asked for nothing for so long leave memory.
 const STALE_LEASES: u32 = 2; // News of a volume older than this says nothing: the static part holds.
 const WINDOW_TOP: f64 = 2.0; // A node starts with so many places; more only move the queue to the node.
-const WINDOW_AIM: f64 = 0.2; // It halves once round trips take this part of the shortest aim.
 const REST_AIM: f64 = 2.0; // Hosts rest between sends once round trips take this part of the shortest aim,
 const REST_POWER: f64 = 2.0; // by that power of how often they do,
 const REST_TOP: f64 = 2.0; // at most so many leases, as far as the round trip is fresh.
 const POOLED: f64 = 0.5; // Part of a limit that waits at the volume's home, where hosts may talk.
-const LEFT: f64 = 0.5; // Part of a limit's store that late work leaves.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2)); // First, longest.
-const REBORN: f64 = 0.85; // Part of a chance amount that a reborn host has saved; its last life may be in it.
 const REPEAT_COST: f64 = 0.5; // What a request costs a node that has just taken the same key.
 const RUN_ROOM: f64 = 1.0; // A run of one key may go on past the window by so many,
 const RUN_LOOK: usize = 64; // looked for among so many held.
 const UNSENT: (f64, f64) = (0.1, 0.49); // One not sent in such a part of its time is given up.
-const OVERTAKEN: u32 = 3; // An attempt is missed once so many later ones came back before it,
-const MISSED_LAGS: (f64, f64) = (2.0, 6.0); // and it is so many round trips old; without, the second.
 
 /// The decisions of one host.
 #[derive(Clone, Debug, Default)]
@@ -476,143 +474,6 @@
         self.set.tries_left(&class, job.attempts.len()) && (never_ran || class.effect != Effect::Unsafe)
     }
 
-    /// Takes an ended attempt off its node.
-    fn settle_out(&mut self, id: NodeId, a: &Attempt) {
-        let Some(node) = self.nodes.get_mut(&id) else { return };
-        let at = node.out.iter().position(|o| (o.job, o.number) == (a.request, a.number));
-        let Some(out) = at.map(|at| node.out.remove(at)).filter(|o| o.missed) else { return };
-        // A jammed node is late too; only what later ones overtook can have been lost.
-        if a.ending == Ending::TimedOut && out.overtaken > 0 {
-            self.lost.add(self.now, 1.0, LEASE);
-        }
-    }
-
-    /// A node serves in turn of arrival: attempts sent before one that is now answered were overtaken.
-    fn count_overtaken(&mut self, id: NodeId, a: &Attempt, sent: Duration) {
-        let Some(node) = self.nodes.get_mut(&id).filter(|_| a.ending == Ending::Served) else { return };
-        node.quiet = 0;
-        // Answered before one that was missed: the node is not jammed, that one was lost or is slow.
-        if node.out.iter().any(|o| o.missed && o.sent_at < sent) {
-            node.lag = nanos(a.took);
-        }
-        node.out.iter_mut().filter(|o| o.sent_at < sent).for_each(|o| o.overtaken += 1);
-    }
-
-    /// Attempts or answers may vanish on the way, and would hold places until the deadline. One that
-    /// later ones have overtaken, or that is very late, holds no place; the more a silent node is owed,
-    /// the longer the next is waited for.
-    fn notice_missed(&mut self) {
-        let now = self.now;
-        let mut next = FOREVER;
-        // Of thousands of nodes few have something out.
-        let out = self.jobs.values().flat_map(|j| j.attempts.iter().filter(|a| a.2).map(|a| a.0));
-        for id in out.collect::<BTreeSet<NodeId>>() {
-            let Some(node) = self.nodes.get_mut(&id) else { continue };
-            let trip = node.lag.max(node.service).max(1e6);
-            for out in node.out.iter_mut().filter(|o| !o.missed && !o.free) {
-                let overtaken = out.overtaken >= OVERTAKEN;
-                let lags = if overtaken { MISSED_LAGS.0 } else { MISSED_LAGS.1 * f64::from(1 << node.quiet) };
-                let at = out.sent_at.saturating_add(span_of(lags * trip));
-                out.missed = at <= now;
-                if out.missed {
-                    node.quiet = (node.quiet + u32::from(!overtaken)).min(8);
-                    // No answer is news as well: the round trip is at least this long by now.
-                    let late = nanos(now - out.sent_at);
-                    if !overtaken && self.lost.get(now, LEASE) <= 0.05 && late > node.lag {
-                        (node.lag, node.seen_at) = (late, now);
-                    }
-                } else {
-                    next = next.min(at);
-                }
-            }
-        }
-        self.wake_by(next);
-    }
-
-    /// Health: the window halves on what went wrong or late, and grows per round trip otherwise.
-    fn judge(&mut self, id: NodeId, a: &Attempt, units: f64) {
-        let (now, aim, warm_up) = (self.now, self.set.shortest_aim(), self.set.rules.warm_up);
-        let (thin, saved) = (
-            self.bears() / self.rivals() < self.set.units_top,
-            self.first_saved(id, now, now.as_nanos() as u64),
-        );
-        let unreached = Some(self.set.connect_timeout).filter(|t| !t.is_zero()).unwrap_or(FOREVER);
-        let Some(node) = self.nodes.get_mut(&id) else { return };
-        // What a cold node has done in time it can do again within a fall window, whoever's turn it is.
-        if a.ending == Ending::Served && thin && nanos(a.took) <= aim {
-            node.relays = if node.relay_until >= now { node.relays + 1 } else { 1 };
-            node.relay_until = now + self.set.rules.tip_after;
-        }
-        if let Some(ms) = a.load.service_ms.filter(|ms| *ms > 0.0) {
-            node.service = ms * 1e6;
-        }
-        match a.ending {
-            Ending::Served => {
-                let lag = nanos(a.took);
-                let news = 1.0 - (-seconds(now - node.seen_at) / seconds(LEASE)).exp();
-                node.lag += if node.lag > 0.0 { news.max(0.2) * (lag - node.lag) } else { lag };
-                if node.born.is_none_or(|born| now >= born + warm_up) {
-                    self.pace *= if units * 1e9 > self.pace * lag { 1.1 } else { 1.0 / 1.1 };
-                }
-                (node.seen_at, node.fails, node.unheard) = (now, 0, 0);
-                // Connections may break under a process that lives on: what it answers at once, or was
-                // sent before the break, tells that it did not restart.
-                if node.broke_at.is_some_and(|at| now - a.took.min(now) < at || now < at + SECOND) {
-                    node.born = node.listed;
-                }
-                node.broke_at = None;
-                if node.lag > WINDOW_AIM * aim {
-                    node.shrink(now);
-                } else if node.held() + 2.0 > node.window {
-                    node.window = (node.window + 1.0 / node.window).min(WINDOW_TOP);
-                }
-            }
-            Ending::Cancelled if nanos(a.took) > node.lag => (node.lag, node.seen_at) = (nanos(a.took), now),
-            Ending::Error | Ending::Cancelled | Ending::Void => {}
-            Ending::TimedOut => {
-                node.unheard = (node.unheard + u32::from(nanos(a.took) > aim)).min(8);
-                node.shrink(now);
-            }
-            Ending::TurnedAway => {
-                node.shrink(now);
-                node.hold_until = now + span_of(node.service.max(1e7));
-            }
-            // One connection that does not come up may be lost on the way; a process that starts refuses.
-            Ending::NoConnection if node.fails == 0 && a.took >= unreached => node.fails = 1,
-            Ending::Broken | Ending::NoConnection => {
-                // A restart the list has not told of yet: send little, and ramp as after a start.
-                node.shrink(now);
-                let wait = backoff(BACKOFF.0, BACKOFF.1, node.fails);
-                let first = a.ending == Ending::Broken && node.fails == 0;
-                node.hold_until = if first { Duration::ZERO } else { now + wait };
-                let broken = a.ending == Ending::Broken && (node.fails == 0 || node.broke_at.is_some());
-                node.broke_at = broken.then_some(now);
-                node.fails += 1;
-                (node.born, node.relays, node.saved) = (Some(now), 0, saved);
-                // What a process that may be dead took does not burden its successor.
-                if node.listed.is_none_or(|at| now >= at + self.set.rules.warm_up) {
-                    node.sent.clear();
-                }
-            }
-        }
-    }
-
-    fn hear_meter(&mut self, volume: VolumeId, a: &Attempt, units: f64) {
-        let now = self.now;
-        let Some(volume) = self.volumes.get_mut(&volume) else { return };
-        if a.ending == Ending::Served {
-            volume.served.add(now, units, LEASE);
-        }
-        if a.elsewhere.is_finite() && a.elsewhere > 0.0 {
-            volume.others.add(now, a.elsewhere, LEASE);
-            volume.news_at = Some(now);
-        }
-        if let Some(used) = a.used.filter(|u| u.is_finite()) {
-            volume.total = used * volume.plan.rate;
-            volume.news_at = Some(now);
-        }
-    }
-
     /// Vt rises by half its gap to the largest each second, the span over which worth is counted.
     fn lift_tags(&mut self) {
         if self.now < self.lifted_at + SECOND {
@@ -813,164 +674,6 @@
         }
     }
 
-    /// Late work earns little: it leaves units to what can be in time, and goes where the store fills unused.
-    fn limit_allows(&mut self, id: VolumeId, units: f64, late: bool) -> bool {
-        let now = self.now;
-        let Some(volume) = self.volumes.get_mut(&id) else { return false };
-        let own = (1.0 - volume.pooled) / volume.hosts * self.part;
-        let units = units + if late { LEFT * volume.plan.burst * own } else { 0.0 };
-        let owed = volume.owed(now, self.set.keepalive.max(LEASE));
-        let missing = if volume.plan.limit > 0.0 { volume.missing(now, units, self.part, owed) } else { 0.0 };
-        if missing <= 0.0 {
-            return true;
-        }
-        let wait = span_of((missing / (volume.plan.limit * own) * 1e9).clamp(1e6, 1e9));
-        self.wake_by(now + wait);
-        self.ask_home(id);
-        false
-    }
-
-    /// Part of each limit waits at one host, the volume's home, for those that lack units: even parts
-    /// leave those of idle hosts unused. What a lost message or a dead home takes with it is not spent.
-    fn ask_home(&mut self, id: VolumeId) {
-        let number = self.random(1 << 32) as u32;
-        let (now, mean, rank) = (self.now, self.set.unit_mean, self.set.rank as u16);
-        let Some(volume) = self.volumes.get_mut(&id).filter(|v| v.pooled > 0.0) else { return };
-        let again = volume.asked.map_or(Duration::ZERO, |(_, at)| at + volume.hold() / 4);
-        if again > now {
-            return self.wake_by(again);
-        }
-        volume.asked = Some((number, now));
-        let units = volume.held as f64 * mean;
-        let plan = self.set.plans.iter().position(|p| *p == volume.plan).unwrap_or(0) as u16;
-        let ask = Memo::Ask { volume: id, plan, units, number };
-        self.tell((scramble(id) % u64::from(self.set.hosts.max(1))) as u16, rank, ask);
-    }
-
-    fn tell(&mut self, to: u16, from: u16, memo: Memo) {
-        if to == self.set.rank as u16 {
-            self.on_told(from, &memo.bytes());
-        } else {
-            self.acts.push(Action::Tell { to: Some(to), bytes: memo.bytes() });
-        }
-    }
-
-    fn on_told(&mut self, from: u16, bytes: &[u8]) {
-        let now = self.now;
-        match Memo::parse(bytes) {
-            Some(Memo::Ask { volume, plan, units, number }) => {
-                let Some(plan) = self.set.plans.get(plan as usize).filter(|p| p.limit > 0.0) else { return };
-                let pool = self.pools.entry(volume).or_insert(Bucket { tokens: 0.0, at: self.started });
-                let units = pool.fill(now, POOLED * plan.limit, POOLED * plan.burst).min(units);
-                if units >= 1.0 {
-                    pool.tokens -= units;
-                    self.tell(from, from, Memo::Give { volume, units, number });
-                }
-            }
-            Some(Memo::Give { volume, units, number }) => {
-                let Some(volume) = self.volumes.get_mut(&volume) else { return };
-                let Some((_, at)) = volume.asked.filter(|a| a.0 == number) else { return };
-                // The home's store has filled again meanwhile: what comes late must not be spent as well.
-                volume.given_until = at + volume.hold();
-                volume.given = units;
-                volume.asked = None;
-            }
-            None => {}
-        }
-    }
-
-    fn budget_allows(&mut self) -> bool {
-        let Some((free, share)) = self.set.rules.budget() else { return true };
-        let span = self.set.rules.budget_span;
-        let since = (self.now + NANO).saturating_sub(span);
-        let (taken, further) = (self.taken.since(since), self.further.since(since));
-        let allowed = further + 1.0 <= free + share * taken;
-        if let (false, Some(at)) = (allowed, self.further.first()) {
-            self.wake_by(at + span);
-        }
-        allowed
-    }
-
-    /// Units that a node may be sent now. All hosts together must not push a cold node over, with no
-    /// agreement: what it bears is dealt out in even parts. Where those hold no largest request, what it does
-    /// itself is left to those it has answered, one request each; where they hold hardly one, hosts save up.
-    fn room(&mut self, id: NodeId) -> f64 {
-        let Some(node) = self.nodes.get(&id) else { return 0.0 };
-        let (now, rules) = (self.now, &self.set.rules);
-        let age = node.born.map_or(FOREVER, |born| now.saturating_sub(born));
-        let follows = node.relays > 0 && node.relay_until >= now;
-        let stated = rules.start_capacity.min(self.set.cold_bears * self.part) > 0.0;
-        if follows || age >= rules.warm_up || !stated || rules.tip_after.is_zero() {
-            return f64::INFINITY;
-        }
-        let (bears, grown) = (self.bears(), self.grown(age));
-        let even = bears / self.rivals();
-        if even < self.set.unit_mean / 2.0 {
-            self.saved_room(id, even * grown)
-        } else {
-            self.part_room(id, even * grown)
-        }
-    }
-
-    /// Units that a node bears within a fall window just after its start, from all hosts: what is stated, or
-    /// what its part of a warm node's work allows, as far as this host has seen that.
-    fn bears(&self) -> f64 {
-        let (rules, sure) = (&self.set.rules, 1.0 - 1.0 / self.set.rules.overload.max(1.5));
-        let seen = self.pace * rules.start_capacity * rules.overload * seconds(rules.tip_after) * sure;
-        let all = self.set.cold_bears.max(seen) * self.part;
-        all * if all / self.rivals() < self.set.units_top { sure } else { 1.0 }
-    }
-
-    /// How many hosts want something of one node, if each was asked for as many shards as this one of late.
-    fn rivals(&self) -> f64 {
-        let span = STALE_LEASES * LEASE;
-        let asked = self.asked.values().filter(|at| **at + span >= self.now).count().max(1) as f64;
-        let seen = (seconds(self.now - self.started) / seconds(span)).clamp(1e-3, 1.0);
-        let spread = asked / seen / self.ready_nodes.max(1) as f64;
-        (f64::from(self.set.hosts) * spread.min(1.0)).max(1.0)
-    }
-
-    /// What is left of an even part of what a cold node bears.
-    fn part_room(&mut self, id: NodeId, part: f64) -> f64 {
-        let Some(node) = self.nodes.get_mut(&id) else { return 0.0 };
-        let span = self.set.rules.tip_after;
-        let spent = node.sent.since((self.now + NANO).saturating_sub(span));
-        // A reborn host may have used its part in its last life.
-        let reborn = self.now < self.started + span && self.started >= node.born.unwrap_or_default();
-        let next = node.sent.first().map_or(self.now + SECOND / 10, |at| at + span);
-        self.wake_by(next);
-        if reborn {
-            0.0
-        } else {
-            part - spent
-        }
-    }
-
-    /// What a host has saved when a node starts, as if it had saved for long: hosts that run then have
-    /// amounts spread evenly over them, so that their first sends follow each other; later ones draw.
-    fn first_saved(&self, id: NodeId, born: Duration, start: u64) -> Bucket {
-        let start = u64::from(id) ^ start;
-        let drawn = |from: u64| (scramble(from) % (1 << 20)) as f64 / f64::from(1 << 20);
-        let even = f64::from(self.set.rank) / f64::from(self.set.hosts.max(1)) + drawn(start);
-        let part = if self.started <= born { even.fract() } else { REBORN * drawn(self.seed ^ start) };
-        Bucket { tokens: self.set.unit_mean * part, at: self.now }
-    }
-
-    /// Where an even part holds hardly a request, a host saves its part until it does: it may be overdrawn
-    /// by one, of any size. Reborn hosts start from chance amounts as well: so all together send what their
-    /// parts hold in any span, within the chance that the rule leaves.
-    fn saved_room(&mut self, id: NodeId, part: f64) -> f64 {
-        let (now, mean) = (self.now, self.set.unit_mean);
-        let Some(node) = self.nodes.get_mut(&id) else { return 0.0 };
-        let rate = (part / seconds(self.set.rules.tip_after)).max(1e-9);
-        let missing = mean - node.saved.fill(now, rate, mean);
-        if missing <= 0.0 {
-            return self.set.units_top.max(mean);
-        }
-        self.wake_by(now + span_of((missing / rate * 1e9).clamp(1e6, nanos(SECOND / 2))));
-        0.0
-    }
-
     fn send(&mut self, id: RequestId, to: NodeId) {
         self.unqueue(id);
         let (now, stated) = (self.now, self.set.rules.budget().is_some());
@@ -1029,66 +732,3 @@
         scramble(self.seed.wrapping_add(self.drawn)) % bound.max(1)
     }
 }
-
-impl Node {
-    /// The round trip as believed now: a late answer is no longer news after a lease or two.
-    fn trip(&self, now: Duration) -> f64 {
-        let fresh = (-seconds(now.saturating_sub(self.seen_at)) / seconds(LEASE)).exp();
-        self.service + (self.lag - self.service).max(0.0) * fresh
-    }
-
-    fn shrink(&mut self, now: Duration) {
-        if now >= self.shrunk_at + span_of(self.lag) {
-            self.window = (self.window / 2.0).max(1.0);
-            self.shrunk_at = now;
-        }
-    }
-
-    fn cost(&self, req: &Request) -> f64 {
-        req.units * if self.repeats(req) { REPEAT_COST } else { 1.0 }
-    }
-}
-
-impl Volume {
-    /// This host's part of the volume: own demand over all demand; the static part while news is old.
-    fn share(&self, now: Duration) -> f64 {
-        let even = 1.0 / self.hosts;
-        let fresh = self.news_at.is_some_and(|at| now <= at + STALE_LEASES * LEASE);
-        let (own, others) = (self.demand.get(now, LEASE), self.others_rate(now));
-        if !fresh || own + others <= 0.0 {
-            return even;
-        }
-        own / (own + others)
-    }
-
-    fn others_rate(&self, now: Duration) -> f64 {
-        self.others.get(now, LEASE).max(self.total - self.served.get(now, LEASE))
-    }
-
-    /// How many units the buckets lack for a request of this size.
-    fn missing(&mut self, now: Duration, units: f64, whole: f64, owed: f64) -> f64 {
-        let limit = self.plan.limit;
-        let full = self.plan.burst * whole;
-        let empty = self.slice.tokens < units;
-        if now >= self.scaled_at + LEASE || empty && now >= self.scaled_at + LEASE / 4 {
-            self.scaled_at = now;
-            let over = if self.total > 0.0 { limit / self.total } else { 1.0 };
-            self.scale = over.min(1.0);
-        }
-        let floor = 1.0 - self.others_rate(now) / limit;
-        let part = (self.share(now).max(floor) * self.scale).clamp(1e-3, 1.0);
-        // The guard of rule 7: whatever the news, no host draws past rate and burst over the host count.
-        let (even, own) = (1.0 / self.hosts, 1.0 - self.pooled);
-        let cap = self.plan.burst * own + 0.5 * self.plan.tolerance;
-        // What is out, or was given up and may still come, takes its units then: no store fills beside it.
-        let sure =
-            self.sure.fill(now, limit * own * even * whole, cap * even * whole - owed) + self.gift(now);
-        let slice = self.slice.fill(now, limit * part * whole, full * part.max(even) - owed);
-        units - sure.min(slice)
-    }
-
-    /// How long given units may be held: the home's store must not fill past the tolerance meanwhile.
-    fn hold(&self) -> Duration {
-        span_of(0.4 * self.plan.tolerance / (POOLED * self.plan.limit) * 1e9)
-    }
-}
