Review, case 1: a second answer shifts every later answer in chunks by one request

Cause: after an answer in chunks nothing holds its connection back, as SETTLE_TIME does after an answer of stated length (net/upstream/response.rs). A second copy that comes while the next request is on its way is taken for its answer, and from then on the connection is one answer ahead.

--- /dev/null
+++ b/review/standins/src/main.rs
@@ -0,0 +1,104 @@
+//! The tests of `review/`: each plays one case against the project's program, with stand-ins in this process.
+//!
+//! `review-standins CASE FOLDER` writes `record.txt` to the folder. It exits with 1 if the rule was broken, 0
+//! if it held, and 2 if the case couldn't run. With `TROUBLE=0` the case runs without its disruption.
+
+mod network;
+mod platform;
+mod process;
+mod record;
+mod second_answer;
+
+use process::TemporaryFolder;
+use record::Record;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// A run that takes longer than this is ended.
+const MAX_RUN: Duration = Duration::from_secs(110);
+
+/// One run of a case.
+pub struct Run {
+    /// The project's root.
+    pub root: PathBuf,
+    /// A temporary folder.
+    pub folder: PathBuf,
+    pub record: Record,
+    /// Whether the disruption happens.
+    pub trouble: bool,
+}
+
+/// What a run has shown.
+pub enum Verdict {
+    Held,
+    Broken(String),
+}
+
+impl Run {
+    /// Returns the environment of a process on the platform.
+    pub fn variables(
+        &self,
+        listen: SocketAddr,
+        agent: SocketAddr,
+        file: &Path,
+    ) -> Vec<(&'static str, String)> {
+        vec![
+            ("ROUTER_NAME", "n1".into()),
+            ("ROUTER_LISTEN", listen.to_string()),
+            ("ROUTER_DISCOVERY", agent.to_string()),
+            ("ROUTER_CONFIG", file.display().to_string()),
+        ]
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &arguments[..] else {
+        eprintln!("usage: review-standins CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let record = Record::new();
+    let file = Path::new(folder).join("record.txt");
+    let (late_record, late_file) = (record.clone(), file.clone());
+    std::thread::spawn(move || {
+        std::thread::sleep(MAX_RUN);
+        late_record.note("the case took too long and could not be judged");
+        late_record.write(&late_file);
+        std::process::exit(2);
+    });
+    let result = play(case, Path::new(folder), &record);
+    let code = match result {
+        Ok(Verdict::Held) => {
+            record.note("verdict: the rule held");
+            0
+        }
+        Ok(Verdict::Broken(why)) => {
+            record.note(format!("verdict: the rule was BROKEN: {why}"));
+            1
+        }
+        Err(why) => {
+            record.note(format!("the case could not run: {why}"));
+            2
+        }
+    };
+    record.write(&file);
+    ExitCode::from(code)
+}
+
+fn play(case: &str, folder: &Path, record: &Record) -> io::Result<Verdict> {
+    let temporary = TemporaryFolder::create()?;
+    let run = Run {
+        root: folder.join("../..").canonicalize()?,
+        folder: temporary.0.clone(),
+        record: record.clone(),
+        trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
+    };
+    record.note(format!("case {case}, {} the disruption", if run.trouble { "with" } else { "without" }));
+    match case {
+        "second-answer" => second_answer::run(&run),
+        other => Err(io::Error::other(format!("there is no case '{other}'"))),
+    }
+}
