--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,11 +3,13 @@
 //! `review-standins CASE FOLDER` writes `record.txt` to the folder. It exits with 1 if the rule was broken, 0
 //! if it held, and 2 if the case couldn't run. With `TROUBLE=0` the case runs without its disruption.
 
+mod nbd;
 mod network;
 mod platform;
 mod process;
 mod record;
 mod second_answer;
+mod write_during_drain;
 
 use process::TemporaryFolder;
 use record::Record;
@@ -98,6 +100,7 @@
     };
     record.note(format!("case {case}, {} the disruption", if run.trouble { "with" } else { "without" }));
     match case {
+        "write-during-drain" => write_during_drain::run(&run),
         "second-answer" => second_answer::run(&run),
         other => Err(io::Error::other(format!("there is no case '{other}'"))),
     }
