Review, case 3: a large request to a target that hangs is answered after 20 s

Cause: while a body is streamed, request and attempt have no deadline. Where the client has sent everything and the target takes nothing, only the stall timeout of the upload ends them: two times 10 s.

Done: the case. Beside it two plays of faults that are reported only: "repeated-id" and "stop-during-upload".

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,22 +3,28 @@
 //! `review-standins CASE FOLDER` writes `record.txt` to the folder. It exits with 1 if the rule was broken, 0
 //! if it held, and 2 if the case couldn't run. With `TROUBLE=0` the case runs without its disruption.
 
+mod hung_upload;
 mod nbd;
 mod network;
 mod platform;
 mod process;
 mod record;
+mod repeated_id;
 mod second_answer;
+mod stop_during_upload;
 mod write_during_drain;
 
 use process::TemporaryFolder;
 use record::Record;
-use std::io;
-use std::net::SocketAddr;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+/// The rate at which slow clients send a body, in bytes a second.
+const UPLOAD_RATE: f64 = 64e3;
+const UPLOAD_INTERVAL: Duration = Duration::from_millis(25);
 /// A run that takes longer than this is ended.
 const MAX_RUN: Duration = Duration::from_secs(110);
 
@@ -56,6 +62,21 @@
     }
 }
 
+/// Sends a request's head, and its body at 64 kB a second.
+pub fn upload(mut stream: TcpStream, head: &[u8], body_bytes: usize) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.write_all(head)?;
+    let (started_at, mut sent) = (Instant::now(), 0);
+    while sent < body_bytes {
+        std::thread::sleep(UPLOAD_INTERVAL);
+        let due = (started_at.elapsed().as_secs_f64() * UPLOAD_RATE) as usize;
+        let part = vec![b'w'; due.min(body_bytes) - sent];
+        stream.write_all(&part)?;
+        sent += part.len();
+    }
+    Ok(())
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else {
@@ -101,6 +122,9 @@
     record.note(format!("case {case}, {} the disruption", if run.trouble { "with" } else { "without" }));
     match case {
         "write-during-drain" => write_during_drain::run(&run),
+        "hung-upload" => hung_upload::run(&run),
+        "repeated-id" => repeated_id::run(&run),
+        "stop-during-upload" => stop_during_upload::run(&run),
         "second-answer" => second_answer::run(&run),
         other => Err(io::Error::other(format!("there is no case '{other}'"))),
     }
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -53,7 +53,7 @@
 /// How a target treats requests.
 #[derive(Clone, Default)]
 pub struct TargetControl {
-    /// While set, the target takes requests and neither runs nor answers them.
+    /// While set, the target takes connections, and reads, runs and answers nothing.
     pub hangs: Arc<AtomicBool>,
 }
 
@@ -111,6 +111,9 @@
     stream.set_nodelay(true).ok()?;
     let mut stream = BufReader::new(stream);
     loop {
+        while control.hangs.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(10));
+        }
         let request = Message::read(&mut stream)?;
         let trace_id = request.trace_id().to_owned();
         let (line, bytes) = (request.start_line(), request.body.len());
