--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 //! if it held, and 2 if the case couldn't run. With `TROUBLE=0` the case runs without its disruption.
 
 mod hung_upload;
+mod many_uploads;
 mod nbd;
 mod network;
 mod platform;
@@ -123,6 +124,7 @@
     match case {
         "write-during-drain" => write_during_drain::run(&run),
         "hung-upload" => hung_upload::run(&run),
+        "many-uploads" => many_uploads::run(&run),
         "repeated-id" => repeated_id::run(&run),
         "stop-during-upload" => stop_during_upload::run(&run),
         "second-answer" => second_answer::run(&run),
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -176,6 +176,17 @@
 
 /// Returns the platform's configuration, with the classes, plans and rules of caxias-sala.
 pub fn configuration(listen: SocketAddr, agent: SocketAddr, entries: &[String]) -> String {
+    configuration_with_limits(listen, agent, entries, 192, 1024)
+}
+
+/// Like [`configuration`], with these limits on memory, in MB, and on descriptors.
+pub fn configuration_with_limits(
+    listen: SocketAddr,
+    agent: SocketAddr,
+    entries: &[String],
+    memory_mb: usize,
+    sockets: usize,
+) -> String {
     let lane = |name: &str, aim: u64, deadline: u64, effect: &str, late: f64, value: f64| {
         format!(
             r#"{{"name":"{name}","aim":{},"deadline":{},"idempotency":"{effect}","group":"all","late-worth":{late},"memory-span":5000000000,"streamed":false,"value":{value}}}"#,
@@ -192,7 +203,7 @@
     let plans = r#"{"name":"basico","base-rate":2.3,"guaranteed":0,"never-over":23,"limit-burst":37,"tolerance":6,"shares":1,"price":0.72},{"name":"prioritario","base-rate":3.4,"guaranteed":2.7,"never-over":0,"limit-burst":0,"tolerance":0,"shares":3,"price":1}"#;
     format!(
         r#"{{"name":"n1","listen":"{listen}","discovery":"{agent}","seed":"8c1f30d27a5be964",
-"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
 "known":{{"revision":41,"complete":true,"members":[{}]}},
 "settings":{{"balancers":3,"rank":0,"my-zone":0,"zones":["caxias-sala"],"kinds":["box-padrao"],"family":"stores","step":2000000,"membership-mode":"pushed",
 "clients":{{"marks-retry":false}},
--- a/review/standins/src/process.rs
+++ b/review/standins/src/process.rs
@@ -95,6 +95,14 @@
         Ok(None)
     }
 
+    /// Returns the resident memory of the process, in KiB.
+    pub fn memory(&self) -> io::Result<usize> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let value = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        value.ok_or_else(|| io::Error::other("the initiator has no memory: it has ended"))
+    }
+
     /// Adds the lines of the initiator's log to the record.
     pub fn note_log(&self) {
         let text = std::fs::read_to_string(&self.log).unwrap_or_default();
