Review: nothing is left when a run is cut off or its script is ended

Cause: the guard of 110 s ended the program at once, so the initiator and its folder stayed; and run.sh became the program by exec, so a signal to it did the same. Both were seen.

Done: the program keeps what it started, and ends it also when its time is over or when the script that runs it has gone.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,6 @@
 # disruption out. Needs `build` of the deploy file and review/build.sh.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 test -x "$here/../standins/target/release/review-standins" || { echo "run review/build.sh first" >&2; exit 2; }
-exec "$here/../standins/target/release/review-standins" write-during-drain "$here"
+# Not by exec: the program ends what it started when this script ends before it.
+"$here/../standins/target/release/review-standins" write-during-drain "$here"
+exit $?
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -86,13 +86,7 @@
     };
     let record = Record::new();
     let file = Path::new(folder).join("record.txt");
-    let (late_record, late_file) = (record.clone(), file.clone());
-    std::thread::spawn(move || {
-        std::thread::sleep(MAX_RUN);
-        late_record.note("the case took too long and could not be judged");
-        late_record.write(&late_file);
-        std::process::exit(2);
-    });
+    guard(record.clone(), file.clone());
     let result = play(case, Path::new(folder), &record);
     let code = match result {
         Ok(Verdict::Held) => {
@@ -112,6 +106,23 @@
     ExitCode::from(code)
 }
 
+/// Ends this process, and what it started, once it has run for too long or the script that runs it has ended.
+fn guard(record: Record, file: PathBuf) {
+    let (started_at, script) = (Instant::now(), std::os::unix::process::parent_id());
+    std::thread::spawn(move || loop {
+        std::thread::sleep(Duration::from_millis(50));
+        let why = match std::os::unix::process::parent_id() == script {
+            true if started_at.elapsed() < MAX_RUN => continue,
+            true => "the case took too long and could not be judged",
+            false => "the script was ended, so the case could not be judged",
+        };
+        process::end_all();
+        record.note(why);
+        record.write(&file);
+        std::process::exit(2);
+    });
+}
+
 fn play(case: &str, folder: &Path, record: &Record) -> io::Result<Verdict> {
     let temporary = TemporaryFolder::create()?;
     let run = Run {
--- a/review/standins/src/process.rs
+++ b/review/standins/src/process.rs
@@ -5,8 +5,22 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+/// What this process has started and not ended yet: ids of processes, and temporary folders.
+static STARTED: Mutex<(Vec<u32>, Vec<PathBuf>)> = Mutex::new((Vec::new(), Vec::new()));
+
+/// Ends all processes that this one started, and removes its folders. For an end of this process that drops
+/// nothing.
+pub fn end_all() {
+    let (processes, folders) = &*STARTED.lock().unwrap();
+    for id in processes {
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {id}")).status();
+    }
+    folders.iter().for_each(|folder| drop(std::fs::remove_dir_all(folder)));
+}
+
 /// A folder that is removed when this is dropped.
 pub struct TemporaryFolder(pub PathBuf);
 
@@ -14,6 +28,7 @@
     pub fn create() -> io::Result<Self> {
         let path = std::env::temp_dir().join(format!("shaletack-review-{}", std::process::id()));
         std::fs::create_dir_all(&path)?;
+        STARTED.lock().unwrap().1.push(path.clone());
         Ok(TemporaryFolder(path))
     }
 }
@@ -66,6 +81,7 @@
             .stdout(Stdio::null())
             .stderr(File::create(&log)?)
             .spawn()?;
+        STARTED.lock().unwrap().0.push(child.id());
         record.note(format!("initiator: started `{}` as process {}", run.trim(), child.id()));
         Ok(Initiator { child, record: record.clone(), log })
     }
@@ -87,6 +103,7 @@
         let until = Instant::now() + timeout;
         while Instant::now() < until {
             if let Some(status) = self.child.try_wait()? {
+                forget(self.child.id());
                 self.record.note(format!("initiator: ended by itself with {status}"));
                 return Ok(Some(status));
             }
@@ -114,5 +131,11 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        forget(self.child.id());
     }
 }
+
+/// Forgets a process that has ended.
+fn forget(id: u32) {
+    STARTED.lock().unwrap().0.retain(|started| *started != id);
+}
