Serve no late second copy of a response to the next request on its connection

What callers saw: an endpoint sent one response twice, the copy some milliseconds late.

Cause: whatever came next on a connection was believed to answer the request that was open there. Responses carry no mark. The wait of 2 ms before a connection is reused (stated length up to 64 KiB only) hid this where a copy came earlier than that.

Change: a connection remembers its last response. A response that differs from it belongs to its request. One that is equal, byte for byte, is held: if another one follows, the held one was a copy and the other is served; if none does, equal responses are usual for that class and are served at once from then on. After an equal response, and after a 503 or 504, the connection carries no further request: a copy of a rejection was taken to say that the next write never ran. A new outcome, RepeatedResponse, for what stays unproven. It works for all forms, in the one place that every response passes (net/upstream/connection.rs).

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -36,6 +36,9 @@
     UnboundedResponse,
     /// The received bytes are not a valid response, or stopped part-way; the connection did not end.
     MalformedResponse,
+    /// The response is equal to the one before it on its connection and may be a second copy of that, so
+    /// whether it belongs to the request is unknown; the connection was closed.
+    RepeatedResponse,
     /// No response came in time, and the connection was closed.
     TimedOut,
     /// The scheduler cancelled the attempt, and the connection was closed.
@@ -64,7 +67,8 @@
             TransportOutcome::EndpointError
             | TransportOutcome::ProtocolViolation
             | TransportOutcome::UnboundedResponse
-            | TransportOutcome::MalformedResponse => AttemptOutcome::Error,
+            | TransportOutcome::MalformedResponse
+            | TransportOutcome::RepeatedResponse => AttemptOutcome::Error,
             TransportOutcome::Rejected => AttemptOutcome::Rejected,
             TransportOutcome::Unreachable
             | TransportOutcome::ConnectTimedOut
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -1,17 +1,20 @@
 //! A connection to an endpoint, which lets the HTTP library read exactly one final response for each request
 //! and no bytes beyond it.
 
-use super::attempt_context::PROGRESS;
+use super::attempt_context::{DEADLINE, PROGRESS};
 use super::chunked::ChunkedBody;
 use super::expiry_header::ExpiryCorrection;
 use super::keep_alive::{EndpointReuse, ReuseOutcome};
 use super::open_connections::OpenConnection;
+use super::repeat_evidence::RequestPair;
+use super::repeated_responses::{Comparison, RequestIdentity, ResponseComparison};
 use super::response_head::{self, BodyFraming, FramingError, ResponseHead};
 use crate::broker::AttemptProgress;
 use crate::runtime::sockets::Uninterrupted;
 use actix_rt::net::{ActixStream, Ready};
 use bytes::{Buf, BytesMut};
 use socket2::SockRef;
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -20,6 +23,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
 /// The largest head of a response, in bytes.
 const MAX_HEAD_SIZE: usize = 16 * 1024;
@@ -29,6 +33,15 @@
 const STATUS_OFFSET: usize = 9;
 /// The offset of the minor version digit in a head, in bytes.
 const MINOR_VERSION_OFFSET: usize = 7;
+/// How long a response that may be a copy is held if the end of the attempt is not known, or if its head has
+/// been passed on: the library waits for the body only for a limited time then.
+const DEFAULT_HOLD: Duration = Duration::from_millis(500);
+/// The status of a request that was served.
+const OK: u16 = 200;
+/// The status of a request that the endpoint rejected.
+const SERVICE_UNAVAILABLE: u16 = 503;
+/// The status of a request that the endpoint rejected because its time was over.
+const GATEWAY_TIMEOUT: u16 = 504;
 /// The least buffer space for one read from the socket, in bytes.
 const READ_SIZE: usize = 8 * 1024;
 
@@ -44,12 +57,12 @@
     },
     /// A response of known length.
     Sized {
-        /// Bytes of the head and the body that the library has not read yet.
+        /// Bytes of the head and the body that have not been received yet.
         remaining: u64,
     },
     /// A response with a chunked body.
     Chunked {
-        /// Bytes of the head that the library has not read yet.
+        /// Bytes of the head that have not been received yet.
         head_remaining: usize,
         /// The position in the body.
         body: ChunkedBody,
@@ -71,6 +84,20 @@
     is_head: bool,
     /// Whether the final response has begun to arrive.
     response_started: bool,
+    /// What identifies the request.
+    identity: RequestIdentity,
+    /// The request and the one before it.
+    pair: RequestPair,
+    /// Whether a copy of the response before has been dropped.
+    copy_dropped: bool,
+    /// Whether a part of the response has been passed on to the library.
+    is_passed_on: bool,
+    /// The status of the final response, or 0 before its head has arrived.
+    status: u16,
+    /// Bytes of the head of the final response that the library has not read yet.
+    head_remaining: usize,
+    /// Whether the connection must not carry another request after this one.
+    is_last: bool,
     /// The correction of the remaining time that the head of the request states.
     expiry: Option<ExpiryCorrection>,
 }
@@ -82,11 +109,31 @@
     state: ReadState,
     /// Bytes read from the socket that the library has not read yet.
     received: BytesMut,
+    /// How many of them are known to belong to the response.
+    inspected: usize,
     reuse: Rc<EndpointReuse>,
     _open: OpenConnection,
     /// When the last response was complete. `None` before the first one.
     idle_since: Option<Instant>,
     request: CurrentRequest,
+    comparison: ResponseComparison,
+    /// The present response if it may be a second copy of the one before it.
+    held: Option<HeldResponse>,
+}
+
+/// A response whose end is not passed on until it is known whether it is a copy.
+#[derive(Debug, Default)]
+struct HeldResponse {
+    /// Limits the wait for another response. `None` until the held one is complete.
+    wait: Option<Pin<Box<Sleep>>>,
+}
+
+/// The result of reading from a response.
+enum ReadResult {
+    /// Bytes were given to the library, or the connection ended.
+    Delivered,
+    /// The response was a copy and was dropped, because another one followed.
+    CopyDropped,
 }
 
 impl EndpointConnection {
@@ -100,6 +147,9 @@
             _open: open,
             idle_since: None,
             request: CurrentRequest::default(),
+            inspected: 0,
+            comparison: ResponseComparison::default(),
+            held: None,
         }
     }
 
@@ -109,11 +159,15 @@
         let idle_before = self.idle_since.map(|since| since.elapsed());
         // Fails only outside an attempt, where no callback is set.
         let _ = PROGRESS.try_with(|on_progress| on_progress(AttemptProgress::WriteStarted));
+        self.comparison.next_response();
+        let identity = RequestIdentity::from_head(head);
         self.request = CurrentRequest {
             idle_before,
             is_head: head.starts_with(b"HEAD "),
-            response_started: false,
+            identity,
+            pair: RequestPair::new(self.request.identity, identity),
             expiry: ExpiryCorrection::for_head(head),
+            ..CurrentRequest::default()
         };
     }
 
@@ -174,6 +228,11 @@
 
     /// Determines where the response ends (RFC 9112, 6.3).
     fn state_after_head(&mut self, head: &ResponseHead) -> ReadState {
+        self.request.status = head.status;
+        self.request.head_remaining = head.length;
+        // A rejection may prove that its request never ran, so nothing that could be a second copy of one may
+        // be read on this connection.
+        self.request.is_last = matches!(head.status, SERVICE_UNAVAILABLE | GATEWAY_TIMEOUT);
         if self.request.is_head || matches!(head.status, 204 | 304) {
             return ReadState::Sized { remaining: head.length as u64 };
         }
@@ -211,18 +270,142 @@
     }
 
     /// Gives the library the bytes of the response that have been received, including its head.
-    fn poll_response(&mut self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        if self.received.is_empty() && ready!(self.poll_receive(cx))? == 0 {
-            return Poll::Ready(self.finish_connection());
+    fn poll_response(&mut self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<ReadResult>> {
+        self.inspect_received();
+        while self.deliverable() == 0 {
+            if self.held.is_some() && self.state.is_complete() {
+                ready!(self.poll_held(cx))?;
+                if self.request.copy_dropped {
+                    return Poll::Ready(Ok(ReadResult::CopyDropped));
+                }
+                continue;
+            }
+            if ready!(self.poll_receive(cx))? == 0 {
+                return Poll::Ready(self.finish_connection().map(|()| ReadResult::Delivered));
+            }
+            self.inspect_received();
         }
-        let available = self.received.len().min(out.remaining());
-        let count = self.state.advance(&self.received[..available]);
+        let count = self.deliverable().min(out.remaining());
         out.put_slice(&self.received[..count]);
         self.received.advance(count);
-        if self.state.is_complete() {
+        self.inspected -= count;
+        self.request.head_remaining = self.request.head_remaining.saturating_sub(count);
+        self.request.is_passed_on = true;
+        if self.inspected == 0 && self.state.is_complete() {
             self.finish_response();
         }
-        Poll::Ready(Ok(()))
+        Poll::Ready(Ok(ReadResult::Delivered))
+    }
+
+    /// Determines how many of the received bytes belong to the response, and compares them with the response
+    /// before it.
+    fn inspect_received(&mut self) {
+        let added = self.state.advance(&self.received[self.inspected..]);
+        let end = self.inspected + added;
+        let is_complete = self.state.is_complete();
+        let comparison = self.comparison.add(&self.received[self.inspected..end], is_complete);
+        self.inspected = end;
+        if let Some(comparison) = comparison {
+            self.handle_comparison(comparison);
+        }
+    }
+
+    /// Holds the response if it may be a second copy of the one before it. The connection carries no request
+    /// after a response that is equal to the one before it, because the true one might follow then.
+    fn handle_comparison(&mut self, comparison: Comparison) {
+        let is_allowed = self.reuse.repeats().allows(self.request.pair, comparison);
+        self.request.is_last |= comparison == Comparison::Equal;
+        // Only the content of a response that is served matters. A second equal response is no copy of a copy.
+        if !is_allowed && self.request.status == OK && !self.request.copy_dropped {
+            self.held = Some(HeldResponse::default());
+        }
+    }
+
+    /// Returns how many bytes the library may read now. The body is held back until it differs from the
+    /// response before. Of a held response the end is held back. A response that ends with the connection is
+    /// no copy, because the one before it did not.
+    fn deliverable(&self) -> usize {
+        if self.state == ReadState::UntilClose {
+            return self.inspected;
+        }
+        if self.comparison.is_undecided() {
+            return self.inspected.min(self.request.head_remaining);
+        }
+        match &self.held {
+            Some(_) if self.state.is_complete() => 0,
+            Some(_) => self.inspected.saturating_sub(1),
+            None => self.inspected,
+        }
+    }
+
+    /// Waits until another response follows the held one, which shows that the held one is a copy, or until
+    /// the wait is over.
+    ///
+    /// # Errors
+    /// The response can't be served: it is a copy of which a part has been passed on, or it is not known
+    /// whether it is a copy.
+    fn poll_held(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.received.len() > self.inspected {
+            return Poll::Ready(self.drop_copy());
+        }
+        match self.poll_receive(cx) {
+            Poll::Ready(Ok(0)) => {
+                self.state = ReadState::Ended;
+                Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()))
+            }
+            Poll::Ready(Ok(_)) => Poll::Ready(self.drop_copy()),
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Pending => {
+                ready!(self.poll_hold_time(cx));
+                Poll::Ready(self.end_hold())
+            }
+        }
+    }
+
+    /// Drops the held response, which is a copy. The next one answers the request.
+    fn drop_copy(&mut self) -> io::Result<()> {
+        self.held = None;
+        self.reuse.record_stray_bytes();
+        self.reuse.repeats().record_copy(self.request.pair);
+        if self.request.is_passed_on {
+            self.state = ReadState::Ended;
+            return Err(FramingError::RepeatedResponse.into());
+        }
+        self.received.advance(self.inspected);
+        self.inspected = 0;
+        self.comparison.next_response();
+        self.request.copy_dropped = true;
+        self.state = ReadState::Head { interim: 0 };
+        Ok(())
+    }
+
+    /// Ends the wait for another response, of which none came.
+    fn end_hold(&mut self) -> io::Result<()> {
+        self.held = None;
+        if self.reuse.repeats().record_genuine(self.request.pair) {
+            return Ok(());
+        }
+        self.state = ReadState::Ended;
+        Err(FramingError::RepeatedResponse.into())
+    }
+
+    fn poll_hold_time(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let hold_time = self.hold_time();
+        let Some(held) = &mut self.held else { return Poll::Ready(()) };
+        let wait = held.wait.get_or_insert_with(|| Box::pin(tokio::time::sleep(hold_time)));
+        wait.as_mut().poll(cx)
+    }
+
+    /// Returns how long a response is held: half the time that the attempt has left.
+    fn hold_time(&self) -> Duration {
+        let deadline = DEADLINE.try_with(|deadline| *deadline).ok().flatten();
+        let Some(deadline) = deadline else { return DEFAULT_HOLD };
+        let half = deadline.saturating_duration_since(Instant::now()) / 2;
+        if self.request.is_passed_on {
+            half.min(DEFAULT_HOLD)
+        } else {
+            half
+        }
     }
 
     /// Handles the end of the connection within a response. A chunked body is incomplete then (RFC 9112, 8),
@@ -238,18 +421,19 @@
 
     /// Handles the end of a response. Bytes received after it belong to no request.
     fn finish_response(&mut self) {
-        self.state = ReadState::Idle;
+        self.state = if self.request.is_last { ReadState::Ended } else { ReadState::Idle };
         if !self.received.is_empty() {
             self.reuse.record_stray_bytes();
             self.state = ReadState::Ended;
         }
         self.received = BytesMut::new();
+        self.inspected = 0;
         self.idle_since = Some(Instant::now());
     }
 }
 
 impl ReadState {
-    /// Returns how many of `bytes` belong to the response, and counts them as read by the library.
+    /// Returns how many of `bytes` belong to the response, and counts them as received.
     fn advance(&mut self, bytes: &[u8]) -> usize {
         match self {
             ReadState::Sized { remaining } => {
@@ -257,18 +441,17 @@
                 *remaining -= count as u64;
                 count
             }
-            ReadState::Chunked { head_remaining, .. } if *head_remaining > 0 => {
-                let count = bytes.len().min(*head_remaining);
-                *head_remaining -= count;
-                count
+            ReadState::Chunked { head_remaining, body } => {
+                let head = bytes.len().min(*head_remaining);
+                *head_remaining -= head;
+                head + body.advance(&bytes[head..])
             }
-            ReadState::Chunked { body, .. } => body.advance(bytes),
             ReadState::UntilClose => bytes.len(),
             ReadState::Idle | ReadState::Head { .. } | ReadState::Ended => 0,
         }
     }
 
-    /// Returns whether the library has read the whole response.
+    /// Returns whether the whole response has been received.
     fn is_complete(&self) -> bool {
         match self {
             ReadState::Sized { remaining } => *remaining == 0,
@@ -289,15 +472,20 @@
         cx: &mut Context<'_>,
         out: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if let ReadState::Head { interim } = self.state {
-            let next = ready!(self.poll_head(cx, interim));
-            self.state = next.inspect_err(|_| self.state = ReadState::Ended)?;
-        }
-        match self.state {
-            ReadState::Idle => self.poll_idle(),
-            ReadState::Head { .. } | ReadState::Ended => Poll::Ready(Ok(())),
-            ReadState::Sized { .. } | ReadState::Chunked { .. } | ReadState::UntilClose => {
-                self.poll_response(cx, out)
+        loop {
+            if let ReadState::Head { interim } = self.state {
+                let next = ready!(self.poll_head(cx, interim));
+                self.state = next.inspect_err(|_| self.state = ReadState::Ended)?;
+            }
+            match self.state {
+                ReadState::Idle => return self.poll_idle(),
+                ReadState::Head { .. } | ReadState::Ended => return Poll::Ready(Ok(())),
+                ReadState::Sized { .. } | ReadState::Chunked { .. } | ReadState::UntilClose => {
+                    match ready!(self.poll_response(cx, out))? {
+                        ReadResult::Delivered => return Poll::Ready(Ok(())),
+                        ReadResult::CopyDropped => {}
+                    }
+                }
             }
         }
     }
--- a/src/net/upstream/keep_alive.rs
+++ b/src/net/upstream/keep_alive.rs
@@ -5,6 +5,7 @@
 //! connections is recorded by the time for which the connection was idle, and idle times after which resets
 //! are frequent are avoided.
 
+use super::repeat_evidence::RepeatEvidence;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -24,12 +25,14 @@
 /// How often the counts are halved, so that older outcomes weigh less.
 const HALVING_INTERVAL: Duration = Duration::from_secs(30);
 
-/// How long connections may be idle and still be reused, learnt from the connections to all endpoints.
+/// How long connections may be idle and still be reused, and whether equal responses are copies, learnt from
+/// the connections to all endpoints.
 #[derive(Debug)]
 pub struct KeepAlivePolicy {
     max_idle: Cell<Duration>,
     ranges: RefCell<[IdleRange; IDLE_RANGES]>,
     halved_at: Cell<Instant>,
+    repeats: RepeatEvidence,
 }
 
 /// The outcomes of requests on connections whose idle time was in one range.
@@ -67,6 +70,7 @@
             max_idle: Cell::new(max_idle),
             ranges: RefCell::default(),
             halved_at: Cell::new(Instant::now()),
+            repeats: RepeatEvidence::default(),
         }
     }
 
@@ -131,4 +135,8 @@
     pub fn record(&self, idle: Duration, outcome: ReuseOutcome) {
         self.policy.record(idle, outcome);
     }
+    /// Returns the evidence on responses that are equal to the one before them, shared by all endpoints.
+    pub fn repeats(&self) -> &RepeatEvidence {
+        &self.policy.repeats
+    }
 }
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -7,6 +7,7 @@
 use super::limits::{MAX_BUFFERED_BODY, MAX_STREAMED_BODY};
 use super::load_report::LoadReport;
 use super::response_body::{StreamedResponse, StreamedResponseSlot};
+use super::response_head::outcome_of_read_error;
 use crate::broker::AttemptResult;
 use crate::outcome::TransportOutcome;
 use actix_http::header::HeaderMap;
@@ -225,13 +226,10 @@
     }
 }
 
-/// Returns the outcome of an attempt whose body could not be read. An I/O error is one of the network, which
-/// truncated the response, except for the kind `InvalidData`, which stands for malformed framing.
+/// Returns the outcome of an attempt whose body could not be read.
 fn outcome_of_body_error(error: &PayloadError) -> TransportOutcome {
     match error {
-        PayloadError::Io(error) if error.kind() != std::io::ErrorKind::InvalidData => {
-            TransportOutcome::TruncatedResponse
-        }
+        PayloadError::Io(error) => outcome_of_read_error(error, TransportOutcome::TruncatedResponse),
         _ => TransportOutcome::MalformedResponse,
     }
 }
--- a/src/net/upstream/response_head.rs
+++ b/src/net/upstream/response_head.rs
@@ -1,5 +1,6 @@
 //! Parses the head of a response as far as needed to determine where the response ends (RFC 9112, 6.3).
 
+use crate::outcome::TransportOutcome;
 use httparse::{Header, Response, Status, EMPTY_HEADER};
 use std::io;
 
@@ -53,6 +54,9 @@
     /// There were more interim responses than may precede a final one.
     #[error("too many interim responses")]
     NoFinalResponse,
+    /// The response may be a second copy of the one before it.
+    #[error("the response is equal to the one before it and may be a second copy of that")]
+    RepeatedResponse,
 }
 
 /// Uses the kind `InvalidData`, which distinguishes a malformed response from an error of the network.
@@ -62,6 +66,18 @@
     }
 }
 
+/// Returns the outcome of an attempt whose response could not be read because of `error`. An error of the
+/// network has the outcome `lost`.
+pub fn outcome_of_read_error(error: &io::Error, lost: TransportOutcome) -> TransportOutcome {
+    if error.kind() != io::ErrorKind::InvalidData {
+        return lost;
+    }
+    match error.get_ref().and_then(|error| error.downcast_ref()) {
+        Some(FramingError::RepeatedResponse) => TransportOutcome::RepeatedResponse,
+        _ => TransportOutcome::MalformedResponse,
+    }
+}
+
 /// Parses the head at the start of `bytes`. Returns `None` if more bytes are needed.
 ///
 /// # Errors
--- a/src/net/upstream/upstream_call.rs
+++ b/src/net/upstream/upstream_call.rs
@@ -7,6 +7,7 @@
 use super::request_body::{RequestBody, Upload};
 use super::response::ResponseReader;
 use super::response_body::StreamedResponseSlot;
+use super::response_head::outcome_of_read_error;
 use crate::broker::{AttemptProgress, AttemptResult};
 use crate::outcome::TransportOutcome;
 use crate::runtime::host::{ProgressCallback, UpstreamRequest};
@@ -201,10 +202,8 @@
         SendRequestError::Connect(_) | SendRequestError::Url(_) => TransportOutcome::Unreachable,
         SendRequestError::Send(_) => TransportOutcome::LostWhileWriting,
         SendRequestError::Timeout => TransportOutcome::TimedOut,
-        SendRequestError::Response(ParseError::Io(error))
-            if error.kind() != std::io::ErrorKind::InvalidData =>
-        {
-            TransportOutcome::LostAwaitingResponse
+        SendRequestError::Response(ParseError::Io(error)) => {
+            outcome_of_read_error(error, TransportOutcome::LostAwaitingResponse)
         }
         SendRequestError::Response(_) => TransportOutcome::MalformedResponse,
         _ => TransportOutcome::LostAwaitingResponse,
--- a/tests/common/platform.rs
+++ b/tests/common/platform.rs
@@ -31,7 +31,7 @@
 }
 
 /// Reads one message and returns its head, which is the start line and headers, and its body of stated
-/// length. `None`: the connection ended before.
+/// length or in chunks. `None`: the connection ended before.
 pub fn read_message(stream: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
@@ -39,12 +39,31 @@
             return None;
         }
     }
+    if header_of(&head, "transfer-encoding") == Some("chunked") {
+        return Some((head, read_chunks(stream)?));
+    }
     let length = header_of(&head, "content-length").map_or(0, |value| value.parse().unwrap());
     let mut body = vec![0; length];
     stream.read_exact(&mut body).ok()?;
     Some((head, body))
 }
 
+/// Reads a chunked body without a trailer section.
+fn read_chunks(stream: &mut BufReader<TcpStream>) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).ok()?;
+        let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        stream.read_exact(&mut chunk).ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
 /// Returns the body with which an endpoint answers the request of this trace id. One body in 16 is long.
 pub fn response_body(trace: &str) -> String {
     trace.repeat(if trace.ends_with('7') { 2000 } else { 1 })
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -288,6 +288,7 @@
         TruncatedResponse,
         UnboundedResponse,
         MalformedResponse,
+        RepeatedResponse,
         TimedOut,
         Cancelled,
         NoAddress,
