Send no write again whose flush an NBD endpoint rejected

What callers saw: a WRITE over NBD ran, the endpoint began to drain and answered the FLUSH behind it with ESHUTDOWN. With write-back the log recorded that the piece never ran.

Cause: without FUA a write takes two steps, and ESHUTDOWN was taken to prove that nothing ran unless the request that it answered was a WRITE. Here that was the FLUSH.

Change: the reply to the last step is judged by the attempt's command. To a write, ESHUTDOWN at either step means that it may have run.

--- a/src/nbd/endpoint_connection.rs
+++ b/src/nbd/endpoint_connection.rs
@@ -55,6 +55,17 @@
     fn without_data(outcome: TransportOutcome) -> Self {
         EndpointReply { outcome, data: Bytes::new() }
     }
+
+    /// Returns the reply to a command, given the reply to its last step.
+    fn new(command: u16, last_step: Reply) -> Self {
+        match last_step.error {
+            0 => EndpointReply { outcome: TransportOutcome::Complete, data: last_step.data.into() },
+            // The endpoint is shutting down. A command that changes nothing may be sent to another endpoint.
+            // A write may have run, also where it is the flush behind the write that was rejected.
+            errno::SHUTDOWN if command != cmd::WRITE => Self::without_data(TransportOutcome::Rejected),
+            _ => Self::without_data(TransportOutcome::EndpointError),
+        }
+    }
 }
 
 /// A decoded reply: an error value, 0 for none, and the data of a read.
@@ -175,13 +186,12 @@
         let fua = durable_write && self.supports(transmission_flag::FUA);
         let flags = if fua { command_flag::FUA } else { 0 };
         let request = self.next_request(flags, command_type, offset, length);
-        let reply = self.exchange(request, &command.data).await?;
-        let completed = reply.outcome == TransportOutcome::Complete;
-        if completed && durable_write && !fua && self.supports(transmission_flag::FLUSH) {
+        let mut reply = self.exchange(request, &command.data).await?;
+        if reply.error == 0 && durable_write && !fua && self.supports(transmission_flag::FLUSH) {
             let flush = self.next_request(0, cmd::FLUSH, 0, 0);
-            return self.exchange(flush, &Bytes::new()).await;
+            reply = self.exchange(flush, &Bytes::new()).await?;
         }
-        Ok(reply)
+        Ok(EndpointReply::new(command_type, reply))
     }
 
     fn next_request(&mut self, flags: u16, command: u16, offset: u64, length: u32) -> Request {
@@ -189,22 +199,13 @@
         Request { flags, command, cookie: self.last_cookie, offset, length }
     }
 
-    /// Sends a request and reads its reply.
-    async fn exchange(&mut self, request: Request, data: &Bytes) -> Result<EndpointReply, TransportOutcome> {
+    /// Sends a request, which is one step of a command, and reads its reply.
+    async fn exchange(&mut self, request: Request, data: &Bytes) -> Result<Reply, TransportOutcome> {
         let mut out = request.encode();
         out.extend_from_slice(data);
         self.stream.write_all(&out).await.map_err(|_| TransportOutcome::LostWhileWriting)?;
         let magic = self.stream.read_u32().await.map_err(|_| TransportOutcome::LostAwaitingResponse)?;
-        let reply =
-            self.read_reply(&request, magic).await.map_err(|_| TransportOutcome::TruncatedResponse)?;
-        Ok(match reply.error {
-            0 => EndpointReply { outcome: TransportOutcome::Complete, data: reply.data.into() },
-            // The endpoint is shutting down. A command that changes nothing may be sent to another endpoint.
-            errno::SHUTDOWN if request.command != cmd::WRITE => {
-                EndpointReply::without_data(TransportOutcome::Rejected)
-            }
-            _ => EndpointReply::without_data(TransportOutcome::EndpointError),
-        })
+        self.read_reply(&request, magic).await.map_err(|_| TransportOutcome::TruncatedResponse)
     }
 
     /// Reads the rest of a reply whose magic number has been read. Once structured replies are negotiated,
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -71,8 +71,24 @@
     HalfReply,
     /// Rejects the export during negotiation.
     NoExport,
+    /// Executes commands, but rejects each flush because the endpoint shuts down.
+    RejectFlush,
+    /// Executes commands, but answers each flush with an error.
+    FailFlush,
+    /// Executes commands, but closes the connection at each flush.
+    CloseAtFlush,
+    /// Rejects one read because the endpoint shuts down, and serves from then on.
+    RejectOneRead,
+    /// Executes writes, but answers each with the error of an endpoint that shuts down.
+    RejectAfterWrite,
 }
 
+/// The transmission flags of an endpoint that supports all that the initiator makes use of.
+pub const ALL_FLAGS: u16 = transmission_flag::FLAGS
+    | transmission_flag::FLUSH
+    | transmission_flag::FUA
+    | transmission_flag::MULTI_CONN;
+
 /// A scripted endpoint that speaks NBD and records the commands it receives.
 pub struct StubNbdEndpoint {
     pub address: SocketAddr,
@@ -84,6 +100,11 @@
 
 impl StubNbdEndpoint {
     pub async fn start(script: Script, size: usize) -> Self {
+        Self::start_with_flags(script, size, ALL_FLAGS).await
+    }
+
+    /// Like [`Self::start`], with these transmission flags.
+    pub async fn start_with_flags(script: Script, size: usize, flags: u16) -> Self {
         let (script, seen, received) = (Rc::new(Cell::new(script)), Rc::default(), Rc::new(Notify::new()));
         let data = Rc::new(RefCell::new(vec![0u8; size]));
         let parts = (script.clone(), Rc::clone(&seen), received.clone());
@@ -91,7 +112,7 @@
             let (parts, data) = (parts.clone(), data.clone());
             async move {
                 // Errors are ignored, because the initiator may close its connections at any time.
-                let _ = serve_nbd(stream, parts.0, parts.1, parts.2, data).await;
+                let _ = serve_nbd(stream, flags, parts.0, parts.1, parts.2, data).await;
             }
         })
         .await;
@@ -106,6 +127,7 @@
 
 async fn serve_nbd(
     stream: TcpStream,
+    flags: u16,
     script: Rc<Cell<Script>>,
     seen: Rc<RefCell<Vec<Request>>>,
     received: Rc<Notify>,
@@ -125,11 +147,7 @@
         }
         if option == opt::GO {
             let size = (data.borrow().len() as u64).to_be_bytes();
-            let flags = (transmission_flag::FLAGS
-                | transmission_flag::FLUSH
-                | transmission_flag::FUA
-                | transmission_flag::MULTI_CONN)
-                .to_be_bytes();
+            let flags = flags.to_be_bytes();
             s.write_all(&option_reply(option, rep::INFO, &[&[0, 0], &size[..], &flags].concat())).await?;
         }
         s.write_all(&option_reply(option, rep::ACK, &[])).await?;
@@ -160,6 +178,14 @@
         let reply = match script.get() {
             Script::Silent | Script::Swallow => continue,
             Script::Error => error_chunk(r.cookie, errno::IO, "", None),
+            Script::RejectFlush if r.command == cmd::FLUSH => simple_reply(errno::SHUTDOWN, r.cookie),
+            Script::FailFlush if r.command == cmd::FLUSH => simple_reply(errno::IO, r.cookie),
+            Script::CloseAtFlush if r.command == cmd::FLUSH => return Ok(()),
+            Script::RejectOneRead if read => {
+                script.set(Script::Serve);
+                error_chunk(r.cookie, errno::SHUTDOWN, "", None)
+            }
+            Script::RejectAfterWrite if r.command == cmd::WRITE => simple_reply(errno::SHUTDOWN, r.cookie),
             Script::ErrorAfterData if read => {
                 [part(0, from, half), error_chunk(r.cookie, errno::IO, "bad sector", Some(half as u64))]
                     .concat()
