Count a large request's time from the bytes that arrived, not from those forwarded

A write of 100 kB with 0.3 s to live, to an endpoint whose connections never come up, had no answer after 0.88 s.

Cause: while a body was streamed, its client was believed to be still sending until its last byte had been read and forwarded, so request and attempt had no deadline; and each attempt began the client's time anew. What is read depends on the endpoint, not on the client.

Change: the upload counts every 20 ms the bytes that have arrived, read or waiting in the system (FIONREAD). More than before: the client may be done since now. None unread and the body known to be incomplete: the client is still sending, and no deadline applies. The core keeps that moment for the request, over all attempts (client_done_at, Event::ClientTime).

--- a/crates/core/src/broker/input.rs
+++ b/crates/core/src/broker/input.rs
@@ -83,6 +83,10 @@
     BodyStreaming,
     /// The last byte of the body has been sent.
     BodySent,
+    /// The client is known to be still sending the body that is being streamed, and sets the pace.
+    ClientSending,
+    /// More bytes of the body that is being streamed have arrived, and the client may have sent the last one.
+    ClientMayBeDone,
     /// The first bytes of the response have arrived.
     ResponseStarted,
 }
--- a/crates/core/src/broker/requests.rs
+++ b/crates/core/src/broker/requests.rs
@@ -24,8 +24,11 @@
 struct OpenRequest {
     class: u16,
     units: f64,
-    /// The latest time of the final answer; `Duration::MAX` while a body is streaming.
+    /// The latest time of the final answer; `Duration::MAX` while the client is known to be still sending.
     deadline: Duration,
+    /// The earliest time at which the client can have sent the last byte; `None` while it is known to be
+    /// still sending.
+    client_done_at: Option<Duration>,
     /// How long the client still waited when the request arrived, less [`RESPONSE_MARGIN`].
     time_remaining: Duration,
     /// The number of attempts started, which is also the number of the next attempt.
@@ -34,13 +37,25 @@
     may_have_run: bool,
 }
 
+impl OpenRequest {
+    /// Sets the deadline of the request and of its attempt: a client's time counts from the last byte that it
+    /// sent, whenever that byte is read and forwarded.
+    fn apply_client_time(&mut self, id: RequestId, attempt: &mut InFlightAttempt, step: &mut Step) {
+        let deadline = self.client_done_at.map(|done_at| done_at.saturating_add(self.time_remaining));
+        self.deadline = deadline.unwrap_or(Duration::MAX);
+        attempt.deadline = self.deadline;
+        let remaining = deadline.map(|deadline| deadline.saturating_sub(step.now));
+        step.events.push(Event::ClientTime { request: id, remaining });
+    }
+}
+
 /// An attempt without an outcome.
 #[derive(Debug)]
 struct InFlightAttempt {
     endpoint: EndpointId,
     /// When the attempt was sent, or when the streaming of its body last began or ended.
     sent_at: Duration,
-    /// When the attempt times out; `Duration::MAX` while its body is streaming.
+    /// When the attempt times out; `Duration::MAX` while its client is known to be still sending.
     deadline: Duration,
     response_started_at: Option<Duration>,
     /// Whether the body is being sent as the client sends it.
@@ -91,6 +106,7 @@
             class: request.class,
             units: request.units,
             deadline: step.now.saturating_add(time_remaining),
+            client_done_at: Some(step.now),
             time_remaining,
             attempts_started: 0,
             may_have_run: false,
@@ -190,18 +206,24 @@
                 attempt.response_started_at = Some(step.now);
                 step.events.push(Event::ResponseStarted(id.request));
             }
-            // While a body is streaming, the request has no deadline. From the last byte on the client's
-            // whole time is available again.
             AttemptProgress::BodyStreaming | AttemptProgress::BodySent => {
-                let streaming = progress == AttemptProgress::BodyStreaming;
-                open.deadline = match streaming {
-                    true => Duration::MAX,
-                    false => step.now.saturating_add(open.time_remaining),
-                };
-                attempt.deadline = open.deadline;
+                attempt.body_streaming = progress == AttemptProgress::BodyStreaming;
                 attempt.sent_at = step.now;
-                attempt.body_streaming = streaming;
+                if !attempt.body_streaming {
+                    // Until now the client was sending.
+                    open.client_done_at.get_or_insert(step.now);
+                }
+                let streaming = attempt.body_streaming;
                 step.events.push(Event::RequestBody { request: id.request, streaming });
+                open.apply_client_time(id.request, attempt, step);
+            }
+            AttemptProgress::ClientSending => {
+                open.client_done_at = None;
+                open.apply_client_time(id.request, attempt, step);
+            }
+            AttemptProgress::ClientMayBeDone => {
+                open.client_done_at = Some(step.now);
+                open.apply_client_time(id.request, attempt, step);
             }
         }
     }
@@ -291,8 +313,7 @@
         step.events.push(Event::AttemptEnded(ended));
     }
 
-    /// If the body of an attempt that ends is still streaming, ends the streaming and restarts the request's
-    /// deadline.
+    /// If the body of an attempt that ends is still streaming, ends the streaming.
     fn finish_body(&mut self, id: AttemptId, step: &mut Step) {
         if self.in_flight.get(&id).is_some_and(|attempt| attempt.body_streaming) {
             self.progressed(id, AttemptProgress::BodySent, step);
--- a/crates/core/src/interface/event.rs
+++ b/crates/core/src/interface/event.rs
@@ -41,6 +41,14 @@
         /// Whether the body is still being sent.
         streaming: bool,
     },
+    /// How long the client of a request whose body is streamed still waits. Follows
+    /// [`Event::RequestBody`].
+    ClientTime {
+        /// The request.
+        request: RequestId,
+        /// The time, or `None` while the client is still sending and sets the pace.
+        remaining: Option<Duration>,
+    },
     /// An attempt ended.
     AttemptEnded(EndedAttempt),
     /// New settings are in force. The numbers of existing classes and plans keep their meaning; there may be
--- a/crates/core/src/scheduler/arrivals.rs
+++ b/crates/core/src/scheduler/arrivals.rs
@@ -113,8 +113,9 @@
         endpoint.attempts_of(id).for_each(|attempt| attempt.needs_no_slot = true);
     }
 
-    /// Suspends the deadline and the latency objective of a request while its body is being sent, because the
-    /// client sets the pace. After the last byte both restart, as if the request had just arrived.
+    /// Suspends the deadline and the latency objective of a request while its body is being sent. After the
+    /// last byte both restart, as if the request had just arrived. [`Self::on_client_time`] sets both by what
+    /// is known of the client.
     pub(super) fn on_request_body(&mut self, id: RequestId, is_streaming: bool) {
         self.free_slot(id);
         let Some(pending) = self.requests.get_mut(&id) else { return };
@@ -132,6 +133,23 @@
         self.schedule_answer(id);
     }
 
+    /// Sets the deadline and the latency objective of a request whose body is streamed by the time that its
+    /// client still waits. `None` suspends both.
+    pub(super) fn on_client_time(&mut self, id: RequestId, remaining: Option<Duration>) {
+        let Some(pending) = self.requests.get_mut(&id).filter(|pending| !pending.is_queued()) else { return };
+        let class = self.settings.class(pending.request.class);
+        let (objective, remaining) = match remaining {
+            None => (FOREVER, FOREVER),
+            Some(remaining) => {
+                let waited = pending.request.time_remaining.saturating_sub(remaining);
+                (class.latency_objective.saturating_sub(waited), remaining)
+            }
+        };
+        pending.objective_at = self.now.saturating_add(objective);
+        pending.deadline = self.now.saturating_add(remaining);
+        self.schedule_answer(id);
+    }
+
     /// Restarts the clock of the last attempt once its body is complete: only now does the endpoint work on
     /// it.
     fn restart_attempt(&mut self, id: RequestId, now: Duration) {
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -140,6 +140,7 @@
             Event::ResponseStreaming(id) => self.on_response_streaming(*id),
             Event::ResponseStarted(id) => self.free_slot(*id),
             Event::RequestBody { request, streaming } => self.on_request_body(*request, *streaming),
+            Event::ClientTime { request, remaining } => self.on_client_time(*request, *remaining),
             Event::AttemptEnded(attempt) => self.on_attempt_ended(attempt),
             Event::Settings(settings) => self.settings = Settings::clone(settings),
             Event::BudgetShare(share) => self.on_budget_share(*share),
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -6,10 +6,14 @@
 //! a limit of its own.
 
 use super::read_ahead::ArrivalTimes;
+use crate::net::upstream::request_body::ArrivedBytes;
 use crate::runtime::sockets::Uninterrupted;
 use futures_util::FutureExt;
+use rustix::io::ioctl_fionread;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::mem::MaybeUninit;
 use std::rc::Weak;
 use std::task::Waker;
 use std::time::{Duration, Instant};
@@ -166,6 +170,22 @@
         self.arrivals.borrow_mut().take(bytes).unwrap_or_else(Instant::now)
     }
 
+    /// Returns the bytes that have arrived of the request that is being read, and of pipelined ones behind it.
+    pub fn arrived_bytes(&self) -> ArrivedBytes {
+        let unread = self.unread_bytes();
+        ArrivedBytes { total: self.arrivals.borrow().untaken() + unread, unread }
+    }
+
+    /// Returns how many bytes can be read from the socket, or 1 if their number is not available.
+    fn unread_bytes(&self) -> u64 {
+        let Some(socket) = self.socket.upgrade() else { return 0 };
+        let socket = socket.borrow();
+        ioctl_fionread(&socket.0).unwrap_or_else(|_| {
+            let peeked = SockRef::from(&socket.0).peek(&mut [MaybeUninit::uninit()]);
+            u64::from(peeked.is_ok_and(|count| count > 0))
+        })
+    }
+
     /// Waits until the connection is to be closed at once.
     pub async fn close_requested(&self) {
         self.close_requested.notified().await;
--- a/src/net/downstream/front.rs
+++ b/src/net/downstream/front.rs
@@ -16,7 +16,7 @@
 use crate::broker::Answer;
 use crate::net::upstream::endpoint_clients::EndpointClients;
 use crate::net::upstream::limits::{MAX_BUFFERED_BODY, MAX_STREAMED_BODY};
-use crate::net::upstream::request_body::{RequestBody, Upload};
+use crate::net::upstream::request_body::{ClientProgress, RequestBody, Upload};
 use crate::net::upstream::response_body::{StreamedResponse, StreamedResponseSlot};
 use crate::net::upstream::upstream_call::UpstreamCall;
 use crate::runtime::host::{Host, StreamingResponseGuard};
@@ -287,6 +287,8 @@
         }
     }
     let (connection, head) = (connection.clone(), head_bytes(request));
+    let client = ClientProgress::new(connection.arrived_bytes());
+    let sender = connection.clone();
     Ok(RequestBody::Streaming(Rc::new(Upload {
         content_length,
         bytes_read: Cell::new(body.len() as u64),
@@ -297,5 +299,9 @@
             connection.request_in_progress();
         }),
         is_fully_forwarded: Cell::new(false),
+        // The space in front of a header's value is optional.
+        min_head_length: head.saturating_sub(request.headers().len() as u64),
+        arrived: Box::new(move || sender.arrived_bytes()),
+        client,
     })))
 }
--- a/src/net/downstream/read_ahead.rs
+++ b/src/net/downstream/read_ahead.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Returns how many bytes have arrived and have not been taken.
+    pub fn untaken(&self) -> u64 {
+        self.bytes_arrived - self.bytes_taken
+    }
+
     /// Takes the next `bytes` bytes, those of one request, and returns when the last of them arrived;
     /// `None` if no arrival is recorded. A size beyond the bytes that have arrived counts as all of them.
     pub fn take(&mut self, bytes: u64) -> Option<Instant> {
--- a/src/net/upstream/upstream_call.rs
+++ b/src/net/upstream/upstream_call.rs
@@ -115,8 +115,8 @@
             RequestBody::Streaming(upload) => Some(upload.clone()),
             RequestBody::None | RequestBody::Buffered(_) => None,
         };
-        let response = self.send();
-        let result = match with_upload_stall_timeout(response, upload.as_deref()).await {
+        let response = with_upload_stall_timeout(self.send(), upload.as_deref());
+        let result = match self.watch_client_during(response, upload.as_deref()).await {
             Ok(response) => {
                 let reader = ResponseReader::new(response, &self.call.method, permit);
                 reader.read(&self.call.streamed_response).await
@@ -126,6 +126,17 @@
         AttemptResult { body_consumed: upload.is_some_and(|upload| upload.is_consumed()), ..result }
     }
 
+    /// Waits for a response, and reports meanwhile what is known of the client that sends the body.
+    async fn watch_client_during<T>(&self, response: impl Future<Output = T>, upload: Option<&Upload>) -> T {
+        let Some(upload) = upload else { return response.await };
+        let mut response = std::pin::pin!(response);
+        tokio::select! {
+            biased;
+            response = &mut response => response,
+            () = upload.watch_client(&self.on_progress) => response.await,
+        }
+    }
+
     fn send(&self) -> SendClientRequest {
         let request = self.request();
         match &self.call.body {
