--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -3,7 +3,7 @@
 //! The HTTP library (awc) takes an interim (1xx) response for the final one. It also discards the bytes that
 //! it has read past the end of a response, so that the rest of them would be read as the response to the next
 //! request. [`connection`] sits between the library and the socket and lets the library read exactly one
-//! final response for each request (RFC 9112, 6.3 and 9.2). [`response_head`] finds where a response ends,
+//! final response for each request (RFC 9112, 6.3 and 9.2); [`read_state`] is how far it has read. [`response_head`] finds where a response ends,
 //! and [`chunked`] where a chunked body ends. [`repeated_responses`] recognises a response that may be a
 //! second copy of the one before it, and [`repeat_evidence`] decides whether it is served.
 //!
@@ -26,6 +26,7 @@
 pub mod limits;
 pub mod load_report;
 pub mod open_connections;
+pub mod read_state;
 pub mod repeat_evidence;
 pub mod repeated_responses;
 pub mod request_body;
