--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod nbd;
 pub mod operator;
+pub mod platform;
 pub mod process;
 pub mod record;
 
