Acknowledge a write over NBD only once it is on the endpoint's stable storage

Cause: a reply to a write without FUA says that one process holds the data in memory. It was passed on to a client whose session outlives that process and every connection to it. The endpoint's record shows the flush run by the new process, on a new connection.

Change: nbd/durability.rs says how a write becomes durable at an endpoint by its transmission flags (FUA, or a flush behind it on the same connection, or at once); every write does before it is acknowledged. An error in place of the flush's success would leave the data lost, and a write may not be sent again from a copy.

--- a/src/nbd/endpoint_client.rs
+++ b/src/nbd/endpoint_client.rs
@@ -36,15 +36,13 @@
     connection: EndpointConnection,
 }
 
-/// A command to an endpoint. Each attempt sends it once.
+/// A command to an endpoint. Each attempt sends it once. A write that was served is on stable storage.
 #[derive(Clone)]
 pub struct EndpointCommand {
     /// Provides the connections.
     pub client: Rc<EndpointClient>,
     /// The command type: READ, WRITE or FLUSH.
     pub command: u16,
-    /// Whether a write must be on stable storage before it is acknowledged.
-    pub fua: bool,
     /// The offset of the range in the endpoint's export, in bytes.
     pub offset: u64,
     /// The length of the range, in bytes.
--- a/src/nbd/endpoint_connection.rs
+++ b/src/nbd/endpoint_connection.rs
@@ -8,6 +8,7 @@
     Request, FIXED_NEWSTYLE, INIT_MAGIC, NO_ZEROES, OPT_MAGIC, REP_MAGIC, SIMPLE_REPLY_MAGIC,
     STRUCTURED_REPLY_MAGIC,
 };
+use super::durability::WriteDurability;
 use super::endpoint_client::EndpointCommand;
 use crate::outcome::TransportOutcome;
 use crate::runtime::sockets::Uninterrupted;
@@ -179,15 +180,13 @@
             // An endpoint without FLUSH is taken to write to stable storage before it replies.
             return Ok(EndpointReply::without_data(TransportOutcome::Complete));
         }
-        // A later flush may be sent on another connection. Without MULTI_CONN it does not cover the writes
-        // on this connection, so each write is made durable before it is acknowledged.
-        let needs_durability = command.fua || !self.supports(transmission_flag::MULTI_CONN);
-        let durable_write = needs_durability && command_type == cmd::WRITE;
-        let fua = durable_write && self.supports(transmission_flag::FUA);
+        let durability = WriteDurability::of(self.transmission_flags);
+        let is_write = command_type == cmd::WRITE;
+        let fua = is_write && durability == WriteDurability::ForceUnitAccess;
         let flags = if fua { command_flag::FUA } else { 0 };
         let request = self.next_request(flags, command_type, offset, length);
         let mut reply = self.exchange(request, &command.data).await?;
-        if reply.error == 0 && durable_write && !fua && self.supports(transmission_flag::FLUSH) {
+        if is_write && reply.error == 0 && durability == WriteDurability::FlushBehind {
             let flush = self.next_request(0, cmd::FLUSH, 0, 0);
             reply = self.exchange(flush, &Bytes::new()).await?;
         }
--- a/src/nbd/front/execute.rs
+++ b/src/nbd/front/execute.rs
@@ -196,7 +196,6 @@
         let command = EndpointCommand {
             client: self.shared.endpoints.clone(),
             command: request.command,
-            fua: request.flags & command_flag::FUA != 0,
             offset: part.endpoint_offset,
             length: part.length,
             data,
--- a/src/writeback/attempts.rs
+++ b/src/writeback/attempts.rs
@@ -72,14 +72,13 @@
         let PieceToSend { id, export, piece } = to_send;
         let length = piece.data.len() as u32;
         let request = self.incoming_request(kind, id, &export, piece.shard, length);
-        let (command, fua, data) = match kind {
-            // FUA: the data has to be on the endpoint's stable storage before the log releases it.
-            RequestKind::Write => (cmd::WRITE, true, piece.data),
-            RequestKind::ReadBack => (cmd::READ, false, Bytes::new()),
+        let (command, data) = match kind {
+            RequestKind::Write => (cmd::WRITE, piece.data),
+            RequestKind::ReadBack => (cmd::READ, Bytes::new()),
         };
         let client = self.endpoints.clone();
         let offset = piece.endpoint_offset;
-        let endpoint_command = EndpointCommand { client, command, fua, offset, length, data };
+        let endpoint_command = EndpointCommand { client, command, offset, length, data };
         self.host.submit(request, Rc::new(endpoint_command)).await
     }
 
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -2,8 +2,8 @@
 
 use shaletack::broker::{Broker, Clock, Input};
 use shaletack::nbd::codec::{
-    chunk, chunk_header, cmd, errno, error_chunk, info_request, opt, option_reply, rep, simple_reply,
-    transmission_flag, Request, FIXED_NEWSTYLE, INIT_MAGIC, NO_ZEROES, OPT_MAGIC, REP_MAGIC,
+    chunk, chunk_header, cmd, command_flag, errno, error_chunk, info_request, opt, option_reply, rep,
+    simple_reply, transmission_flag, Request, FIXED_NEWSTYLE, INIT_MAGIC, NO_ZEROES, OPT_MAGIC, REP_MAGIC,
     STRUCTURED_REPLY_MAGIC,
 };
 use shaletack::operator::{self, OperatorConfig};
@@ -89,6 +89,33 @@
     | transmission_flag::FUA
     | transmission_flag::MULTI_CONN;
 
+/// The data of an endpoint. Writes go to its memory and become durable by FUA or FLUSH; an endpoint without
+/// either writes to stable storage at once.
+#[derive(Clone)]
+struct EndpointData {
+    memory: Rc<RefCell<Vec<u8>>>,
+    stored: Rc<RefCell<Vec<u8>>>,
+}
+
+impl EndpointData {
+    fn new(stored: Rc<RefCell<Vec<u8>>>) -> Self {
+        let memory = Rc::new(RefCell::new(stored.borrow().clone()));
+        EndpointData { memory, stored }
+    }
+
+    fn write(&self, from: usize, data: &[u8]) {
+        self.memory.borrow_mut()[from..from + data.len()].copy_from_slice(data);
+    }
+
+    fn sync(&self) {
+        self.stored.borrow_mut().copy_from_slice(&self.memory.borrow());
+    }
+
+    fn forget_memory(&self) {
+        self.memory.borrow_mut().copy_from_slice(&self.stored.borrow());
+    }
+}
+
 /// A scripted endpoint that speaks NBD and records the commands it receives.
 pub struct StubNbdEndpoint {
     pub address: SocketAddr,
@@ -96,6 +123,9 @@
     pub seen: Rc<RefCell<Vec<Request>>>,
     /// Notified of each command.
     pub received: Rc<Notify>,
+    flags: u16,
+    data: EndpointData,
+    crashed: Rc<Notify>,
 }
 
 impl StubNbdEndpoint {
@@ -105,18 +135,39 @@
 
     /// Like [`Self::start`], with these transmission flags.
     pub async fn start_with_flags(script: Script, size: usize, flags: u16) -> Self {
+        Self::start_with_store(script, Rc::new(RefCell::new(vec![0u8; size])), flags).await
+    }
+
+    async fn start_with_store(script: Script, stored: Rc<RefCell<Vec<u8>>>, flags: u16) -> Self {
         let (script, seen, received) = (Rc::new(Cell::new(script)), Rc::default(), Rc::new(Notify::new()));
-        let data = Rc::new(RefCell::new(vec![0u8; size]));
+        let (data, crashed) = (EndpointData::new(stored), Rc::new(Notify::new()));
         let parts = (script.clone(), Rc::clone(&seen), received.clone());
+        let (served, crash) = (data.clone(), crashed.clone());
         let address = peer(move |stream, _| {
-            let (parts, data) = (parts.clone(), data.clone());
+            let (parts, data, crash) = (parts.clone(), served.clone(), crash.clone());
             async move {
                 // Errors are ignored, because the initiator may close its connections at any time.
-                let _ = serve_nbd(stream, flags, parts.0, parts.1, parts.2, data).await;
+                tokio::select! {
+                    _ = serve_nbd(stream, flags, parts.0, parts.1, parts.2, data) => {}
+                    () = crash.notified() => {}
+                }
             }
         })
         .await;
-        StubNbdEndpoint { address, script, seen, received }
+        StubNbdEndpoint { address, script, seen, received, flags, data, crashed }
+    }
+
+    /// Ends the endpoint's process and starts it again: all connections are closed, and what is not on stable
+    /// storage is lost.
+    pub fn crash(&self) {
+        self.crashed.notify_waiters();
+        self.data.forget_memory();
+    }
+
+    /// Crashes, and starts another endpoint on what was on stable storage.
+    pub async fn replace(&self) -> Self {
+        self.crash();
+        Self::start_with_store(self.script.get(), self.data.stored.clone(), self.flags).await
     }
 
     /// Returns how many commands of this type were received.
@@ -131,7 +182,7 @@
     script: Rc<Cell<Script>>,
     seen: Rc<RefCell<Vec<Request>>>,
     received: Rc<Notify>,
-    data: Rc<RefCell<Vec<u8>>>,
+    data: EndpointData,
 ) -> std::io::Result<()> {
     let mut s = BufReader::new(stream);
     s.write_all(&[INIT_MAGIC.to_be_bytes(), OPT_MAGIC.to_be_bytes()].concat()).await?;
@@ -146,7 +197,7 @@
             continue;
         }
         if option == opt::GO {
-            let size = (data.borrow().len() as u64).to_be_bytes();
+            let size = (data.memory.borrow().len() as u64).to_be_bytes();
             let flags = flags.to_be_bytes();
             s.write_all(&option_reply(option, rep::INFO, &[&[0, 0], &size[..], &flags].concat())).await?;
         }
@@ -162,16 +213,30 @@
             let mut written = vec![0; r.length as usize];
             s.read_exact(&mut written).await?;
             if script.get() != Script::Swallow {
-                data.borrow_mut()[from..to].copy_from_slice(&written);
+                data.write(from, &written);
             }
         }
+        let fails = matches!(script.get(), Script::Error | Script::Silent | Script::Swallow);
+        let rejects_flush =
+            matches!(script.get(), Script::RejectFlush | Script::FailFlush | Script::CloseAtFlush);
+        let syncs = match r.command {
+            cmd::WRITE => {
+                r.flags & command_flag::FUA != 0
+                    || flags & (transmission_flag::FUA | transmission_flag::FLUSH) == 0
+            }
+            cmd::FLUSH => !rejects_flush,
+            _ => false,
+        };
+        if syncs && !fails {
+            data.sync();
+        }
         seen.borrow_mut().push(r);
         received.notify_one();
         let read = r.command == cmd::READ;
         let part = |flags: u16, from: usize, to: usize| {
             let mut out = chunk_header(flags, chunk::OFFSET_DATA, r.cookie, 8 + to - from);
             out.extend((from as u64).to_be_bytes());
-            out.extend(&data.borrow()[from..to]);
+            out.extend(&data.memory.borrow()[from..to]);
             out
         };
         let half = from + (to - from) / 2;
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -3,6 +3,7 @@
 use super::faults::Faults;
 use std::io::BufRead;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use tokio::sync::mpsc;
@@ -44,9 +45,19 @@
         Self::spawn(file, text, Some(faults))
     }
 
+    /// Writes another operator's file in place of that of the process, and lets the process read it.
+    pub fn rewrite_file(&self, file: &str, text: &str) {
+        std::fs::write(Self::path(file), text).unwrap();
+        let pid = self.0.id().to_string();
+        assert!(Command::new("kill").args(["-HUP", &pid]).status().unwrap().success());
+    }
+
+    fn path(file: &str) -> PathBuf {
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{file}", std::process::id()))
+    }
+
     fn spawn(file: &str, text: &str, faults: Option<&Faults>) -> Self {
-        let path =
-            std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{file}", std::process::id()));
+        let path = Self::path(file);
         std::fs::write(&path, text).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_shaletack"));
         command.args(["serve", "--operator"]).arg(path);
