Send no write over NBD again, nor refuse it, while an attempt of it may still run

Seen by clients: with write-back and writes of an `idempotent` class, an endpoint stood still within one write. It was sent again at once, a newer write to the same place behind it; both were acknowledged and flushed.

Cause: a rejection says that a repeat by the client is harmless; for an idempotent class that holds also where an attempt may still run. Write-back and the NBD front took it to prove that nothing runs. The scheduler also tries such a request again by itself, which a write to a place bears only while no newer write ran there in between.

Change: Answer::Rejected carries a Rejection that says whether an attempt may have run, filled in by the broker from all attempts, timed-out ones and those in flight too. IncomingRequest::at_most_once forbids repeats whatever the class says; every write over NBD sets it, buffered or direct.

--- a/crates/core/src/broker/effect.rs
+++ b/crates/core/src/broker/effect.rs
@@ -14,12 +14,22 @@
 pub enum Answer {
     /// Served, with the endpoint's response.
     Served(Bytes),
-    /// Not served. A retry after the given time is harmless.
-    Rejected(Duration),
+    /// Not served. A retry by the client is harmless.
+    Rejected(Rejection),
     /// Failed; whether the request took effect is unknown.
     Failed,
 }
 
+/// What a client may conclude from the rejection of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// How long the client should wait before it retries.
+    pub retry_after: Duration,
+    /// Whether an attempt may have run or may still run. If so, the rejection rests on the effect of the
+    /// request's class alone, and does not promise that nothing changes.
+    pub may_have_run: bool,
+}
+
 /// One effect that the host carries out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
--- a/crates/core/src/broker/input.rs
+++ b/crates/core/src/broker/input.rs
@@ -48,6 +48,9 @@
     pub time_remaining: Duration,
     /// Whether the client marked the request as a retry of its own.
     pub client_retry: bool,
+    /// Whether no attempt may follow one that may have run, nor a rejection, whatever the request's class
+    /// says: a late run of the first attempt could undo a newer write to the same place.
+    pub at_most_once: bool,
 }
 
 /// The result of an attempt, as an upstream client returns it.
--- a/crates/core/src/broker/mod.rs
+++ b/crates/core/src/broker/mod.rs
@@ -19,7 +19,7 @@
 mod step;
 
 pub use clock::Clock;
-pub use effect::{Answer, Effect};
+pub use effect::{Answer, Effect, Rejection};
 pub use input::{AttemptId, AttemptProgress, AttemptResult, IncomingRequest, Input, OperatorCommand};
 pub use snapshot::CoreSnapshot;
 
--- a/crates/core/src/broker/requests.rs
+++ b/crates/core/src/broker/requests.rs
@@ -1,7 +1,7 @@
 //! Open requests and attempts in flight: their deadlines, the outcome of each attempt, the final answer to
 //! each request, and the withdrawal of attempts that have not been written yet.
 
-use super::effect::{Answer, Effect};
+use super::effect::{Answer, Effect, Rejection};
 use super::input::{AttemptId, AttemptProgress, AttemptResult, IncomingRequest};
 use super::step::Step;
 use crate::counters::Counters;
@@ -124,6 +124,7 @@
             units: request.units,
             time_remaining,
             client_retry: request.client_retry,
+            at_most_once: request.at_most_once,
         }));
     }
 
@@ -139,7 +140,15 @@
     pub(super) fn reject(&mut self, request: RequestId, retry_after: Duration, step: &mut Step) {
         let Some(open) = self.open.remove(&request) else { return };
         self.counters.count(open.class, |counters| counters.rejected += 1);
-        step.effects.push(Effect::Respond { request, answer: Answer::Rejected(retry_after) });
+        let may_have_run = open.may_have_run || self.may_still_run(request);
+        let rejection = Rejection { retry_after, may_have_run };
+        step.effects.push(Effect::Respond { request, answer: Answer::Rejected(rejection) });
+    }
+
+    /// Returns whether an endpoint may have received an attempt of a request that is in flight.
+    fn may_still_run(&self, request: RequestId) -> bool {
+        let attempts = AttemptId::new(request, 0)..=AttemptId::new(request, u8::MAX);
+        self.in_flight.range(attempts).any(|(_, attempt)| attempt.write_started)
     }
 
     /// Answers a request as failed. Does nothing if it is no longer open.
@@ -245,9 +254,7 @@
         if outcome == AttemptOutcome::Served {
             self.serve(id.request, result.body, step);
         }
-        if let Some(open) = self.open.get_mut(&id.request) {
-            open.may_have_run |= !outcome.never_ran();
-        }
+        self.record_outcome(id.request, outcome);
         if result.body_consumed {
             self.end_unrepeatable(id.request, max_retry_after, step);
         }
@@ -309,10 +316,18 @@
         self.counters.count_attempt(transport);
         step.effects.push(Effect::AbortAttempt(id));
         let outcome = transport.attempt_outcome();
+        self.record_outcome(id.request, outcome);
         let ended = self.ended_attempt(id, &attempt, outcome, attempt.round_trip_end(step.now));
         step.events.push(Event::AttemptEnded(ended));
     }
 
+    /// Records whether an ended attempt may have run, if its request is still open.
+    fn record_outcome(&mut self, request: RequestId, outcome: AttemptOutcome) {
+        if let Some(open) = self.open.get_mut(&request) {
+            open.may_have_run |= !outcome.never_ran();
+        }
+    }
+
     /// If the body of an attempt that ends is still streaming, ends the streaming.
     fn finish_body(&mut self, id: AttemptId, step: &mut Step) {
         if self.in_flight.get(&id).is_some_and(|attempt| attempt.body_streaming) {
--- a/crates/core/src/interface/request.rs
+++ b/crates/core/src/interface/request.rs
@@ -31,6 +31,9 @@
     pub time_remaining: Duration,
     /// Whether the client marked the request as a retry of its own.
     pub client_retry: bool,
+    /// Whether no attempt may follow one that may have run, nor a rejection, whatever the request's class
+    /// says: a late run of the first attempt could undo a newer write to the same place.
+    pub at_most_once: bool,
 }
 
 /// How an attempt ended.
--- a/crates/core/src/scheduler/arrivals.rs
+++ b/crates/core/src/scheduler/arrivals.rs
@@ -94,7 +94,8 @@
         let Some(first_run) = pending.first_possible_run() else { return true };
         let (first, next) = (self.endpoints.get(first_run.endpoint), self.endpoints.get(next));
         let (Some(first), Some(next)) = (first, next) else { return false };
-        repeat_is_safe_at(&self.settings.class(pending.request.class), first, next)
+        let request = &pending.request;
+        repeat_is_safe_at(request, &self.settings.class(request.class), first, next)
     }
 
     /// Removes the deadline of a request whose response is being streamed to its client.
--- a/crates/core/src/scheduler/retry_policy.rs
+++ b/crates/core/src/scheduler/retry_policy.rs
@@ -3,7 +3,9 @@
 use super::endpoints::Endpoint;
 use super::requests::PendingRequest;
 use super::times::NANOSECOND;
-use crate::interface::{DedupScope, Idempotency, RequestClass, RetryBudgetRules, Settings, SharedRules};
+use crate::interface::{
+    DedupScope, Idempotency, Request, RequestClass, RetryBudgetRules, Settings, SharedRules,
+};
 use crate::measure::SlidingWindow;
 use std::time::Duration;
 
@@ -57,18 +59,32 @@
     }
 }
 
+/// Returns the effect of repeating a request: that of its class, unless the request must not run twice.
+fn idempotency(request: &Request, class: &RequestClass) -> Idempotency {
+    if request.at_most_once {
+        Idempotency::NotIdempotent
+    } else {
+        class.idempotency
+    }
+}
+
 /// Returns whether a request may be attempted again: it has attempts left, and either a repeat does no harm
 /// or no earlier attempt can have run.
 pub(super) fn may_attempt_again(pending: &PendingRequest, class: &RequestClass, settings: &Settings) -> bool {
     let never_ran = pending.first_possible_run().is_none();
-    let repeatable = never_ran || class.idempotency != Idempotency::NotIdempotent;
+    let repeatable = never_ran || idempotency(&pending.request, class) != Idempotency::NotIdempotent;
     settings.attempts_left(class, pending.attempts.len()) && repeatable
 }
 
 /// Returns whether a request that may have run at `first` may be repeated at `next`, where the repeat either
 /// does no harm or is deduplicated.
-pub(super) fn repeat_is_safe_at(class: &RequestClass, first: &Endpoint, next: &Endpoint) -> bool {
-    match (class.idempotency, class.dedup_scope) {
+pub(super) fn repeat_is_safe_at(
+    request: &Request,
+    class: &RequestClass,
+    first: &Endpoint,
+    next: &Endpoint,
+) -> bool {
+    match (idempotency(request, class), class.dedup_scope) {
         (Idempotency::Idempotent, _) | (Idempotency::Keyed, DedupScope::All) => true,
         (Idempotency::Keyed, DedupScope::Zone) => first.zone == next.zone,
         (Idempotency::Keyed, DedupScope::Shard) => first.shard == next.shard,
@@ -79,8 +95,8 @@
 /// Returns whether a client may be told that it can safely send a request again: a repeat does no harm at any
 /// endpoint, or no attempt can have run.
 pub(super) fn may_reject(pending: &PendingRequest, class: &RequestClass) -> bool {
-    let deduplicated_everywhere =
-        class.idempotency == Idempotency::Keyed && class.dedup_scope == DedupScope::All;
+    let idempotency = idempotency(&pending.request, class);
+    let deduplicated_everywhere = idempotency == Idempotency::Keyed && class.dedup_scope == DedupScope::All;
     let never_ran = !pending.is_in_flight() && pending.may_have_run.is_none();
-    class.idempotency == Idempotency::Idempotent || deduplicated_everywhere || never_ran
+    idempotency == Idempotency::Idempotent || deduplicated_everywhere || never_ran
 }
--- a/src/nbd/front/execute.rs
+++ b/src/nbd/front/execute.rs
@@ -8,7 +8,7 @@
 use super::command_error::CommandError;
 use super::split::{split_command, Part};
 use super::transmission::{AdmittedCommand, Session};
-use crate::broker::{Answer, IncomingRequest};
+use crate::broker::{Answer, IncomingRequest, Rejection};
 use crate::interface::Settings;
 use crate::nbd::codec::{cmd, command_flag, Request};
 use crate::nbd::endpoint_client::EndpointCommand;
@@ -52,7 +52,8 @@
         match answer {
             Answer::Served(_) => self.served += 1,
             Answer::Failed => self.failed_at = Some(offset),
-            Answer::Rejected(retry_after) => {
+            Answer::Rejected(Rejection { may_have_run: true, .. }) => self.failed_at = Some(offset),
+            Answer::Rejected(Rejection { retry_after, .. }) => {
                 let rejected =
                     self.rejected.get_or_insert(RejectedPart { offset, retry_after: *retry_after });
                 rejected.retry_after = rejected.retry_after.max(*retry_after);
@@ -111,7 +112,7 @@
                     assembled[part.range_offset as usize..][..data.len()].copy_from_slice(&data);
                     continue;
                 }
-                Answer::Rejected(retry_after) => CommandError::Rejected { retry_after },
+                Answer::Rejected(Rejection { retry_after, .. }) => CommandError::Rejected { retry_after },
                 Answer::Failed => CommandError::Failed,
             };
             drop(reads);
@@ -216,6 +217,7 @@
             units: f64::from(part.length.div_ceil(operator.unit_bytes).max(1)),
             time_remaining: class_deadline(&operator.settings, class),
             client_retry: false,
+            at_most_once: request.command == cmd::WRITE,
         }
     }
 
--- a/src/net/downstream/front.rs
+++ b/src/net/downstream/front.rs
@@ -13,7 +13,7 @@
 use super::connection_registry::ConnectionRegistry;
 use super::request_head::{self, head_bytes, single_header, RequestHead};
 use super::request_ids::RequestIds;
-use crate::broker::Answer;
+use crate::broker::{Answer, Rejection};
 use crate::net::upstream::endpoint_clients::EndpointClients;
 use crate::net::upstream::limits::{MAX_BUFFERED_BODY, MAX_STREAMED_BODY};
 use crate::net::upstream::request_body::{ClientProgress, RequestBody, Upload};
@@ -215,7 +215,7 @@
                 }
                 None => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
             },
-            Answer::Rejected(retry_after) => {
+            Answer::Rejected(Rejection { retry_after, .. }) => {
                 let mut rejected = Response::build(StatusCode::SERVICE_UNAVAILABLE);
                 rejected.insert_header(("Retry-After", format!("{:.3}", retry_after.as_secs_f64())));
                 rejected.body(()).map_into_boxed_body()
--- a/src/net/downstream/request_head.rs
+++ b/src/net/downstream/request_head.rs
@@ -54,6 +54,7 @@
         units: placement.units,
         time_remaining: time_remaining(headers, core.settings().class(class).deadline)?,
         client_retry: single_header(headers, "X-Second-Try").is_some_and(|value| value == "1"),
+        at_most_once: false,
     };
     let trace_id = trace_id(headers)?;
     Some(RequestHead { request: parsed, trace_id, idempotency_key })
--- a/src/simulator/events.rs
+++ b/src/simulator/events.rs
@@ -47,6 +47,7 @@
             shard: shard(record.f32(25)),
             volume: record.u64(29),
             client_retry: record.u16(37) & 2 != 0,
+            at_most_once: false,
             time_remaining: record.duration(39),
             units: record.f32(47),
             plan: record.u16(51),
--- a/src/writeback/attempts.rs
+++ b/src/writeback/attempts.rs
@@ -1,6 +1,6 @@
 //! Requests for buffered pieces, sent to their endpoints through the core like requests of clients.
 
-use crate::broker::{Answer, IncomingRequest};
+use crate::broker::{Answer, IncomingRequest, Rejection};
 use crate::nbd::codec::cmd;
 use crate::nbd::endpoint_client::{EndpointClient, EndpointCommand};
 use crate::operator::{Export, OperatorConfig};
@@ -51,12 +51,11 @@
     pub async fn write(&self, to_send: PieceToSend) -> AttemptOutcome {
         match self.request(RequestKind::Write, to_send).await {
             Answer::Served(_) => AttemptOutcome::Completed,
-            // A request is rejected only if it provably never ran.
-            Answer::Rejected(retry_after) => {
+            Answer::Rejected(Rejection { retry_after, may_have_run: false }) => {
                 tokio::time::sleep(retry_after).await;
                 AttemptOutcome::NeverRan
             }
-            Answer::Failed => AttemptOutcome::Unknown,
+            Answer::Rejected(_) | Answer::Failed => AttemptOutcome::Unknown,
         }
     }
 
@@ -106,6 +105,7 @@
             units: self.units(length as usize) as f64,
             time_remaining: deadline,
             client_retry: false,
+            at_most_once: kind == RequestKind::Write,
         }
     }
 }
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -2,7 +2,7 @@
 
 use shaletack::broker::{
     Answer, AttemptId, AttemptProgress, AttemptResult, Broker, Clock, Effect, IncomingRequest, Input,
-    OperatorCommand,
+    OperatorCommand, Rejection,
 };
 use shaletack::endpoint_list::{EndpointList, EndpointRecord};
 use shaletack::interface::{
@@ -287,6 +287,11 @@
 /// A large body cannot be sent again, so the first rejection of its request is final. If an earlier attempt
 /// may have run, the client must not be told that nothing ran. Retry-After must stay within the maximum of
 /// the settings.
+/// Returns the rejection of a request of which no attempt ran.
+fn never_ran(retry_after: Duration) -> Rejection {
+    Rejection { retry_after, may_have_run: false }
+}
+
 #[test]
 fn an_unrepeatable_request_is_rejected_only_if_no_attempt_may_have_run() {
     let answer = |first: Option<TransportOutcome>| {
@@ -320,7 +325,7 @@
         harness.at(41 * MS, Input::AttemptEnded { attempt: AttemptId::new(1, number), result })
     };
     let (rejected, failed) = (
-        Effect::Respond { request: 1, answer: Answer::Rejected(30 * MS) },
+        Effect::Respond { request: 1, answer: Answer::Rejected(never_ran(30 * MS)) },
         Effect::Respond { request: 1, answer: Answer::Failed },
     );
     assert!(answer(None).contains(&rejected) && answer(Some(TransportOutcome::Rejected)).contains(&rejected));
@@ -448,7 +453,7 @@
     let mut effects = harness.at(10 * MS, Input::RequestArrived { id: 1, request: request(1) });
     (2..100).for_each(|n| effects.extend(harness.at(10 * n * MS, Input::TimerFired)));
     assert!(!effects.iter().any(|e| matches!(e, Effect::StartAttempt { .. })), "{effects:?}");
-    let rejected = |e: &&Effect| matches!(e, Effect::Respond { request: 1, answer: Answer::Rejected(after) } if !after.is_zero());
+    let rejected = |e: &&Effect| matches!(e, Effect::Respond { request: 1, answer: Answer::Rejected(rejection) } if !rejection.retry_after.is_zero());
     assert_eq!(effects.iter().filter(rejected).count(), 1, "{effects:?}");
 }
 
@@ -490,7 +495,9 @@
     let rejected: Vec<_> = effects
         .iter()
         .filter_map(|e| match e {
-            Effect::Respond { request: id, answer: Answer::Rejected(after) } => Some((*id, after.is_zero())),
+            Effect::Respond { request: id, answer: Answer::Rejected(rejection) } => {
+                Some((*id, rejection.retry_after.is_zero()))
+            }
             _ => None,
         })
         .collect();
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -81,8 +81,17 @@
     RejectOneRead,
     /// Executes writes, but answers each with the error of an endpoint that shuts down.
     RejectAfterWrite,
+    /// Executes the first write only after [`LATE_WRITE_DELAY`], whether its client still waits or not, and
+    /// serves everything else meanwhile.
+    LateFirstWrite,
+    /// As [`Script::LateFirstWrite`], and closes the connection of that write at once.
+    LateFirstWriteClosed,
 }
 
+/// How long the first write stands still at an endpoint with [`Script::LateFirstWrite`] or
+/// [`Script::LateFirstWriteClosed`].
+pub const LATE_WRITE_DELAY: Duration = Duration::from_secs(3);
+
 /// The transmission flags of an endpoint that supports all that the initiator makes use of.
 pub const ALL_FLAGS: u16 = transmission_flag::FLAGS
     | transmission_flag::FLUSH
@@ -212,6 +221,22 @@
         if r.command == cmd::WRITE {
             let mut written = vec![0; r.length as usize];
             s.read_exact(&mut written).await?;
+            if matches!(script.get(), Script::LateFirstWrite | Script::LateFirstWriteClosed) {
+                let is_closed = script.replace(Script::Serve) == Script::LateFirstWriteClosed;
+                seen.borrow_mut().push(r);
+                received.notify_one();
+                if is_closed {
+                    actix_rt::spawn(async move {
+                        tokio::time::sleep(LATE_WRITE_DELAY).await;
+                        data.write(from, &written);
+                    });
+                    return Ok(());
+                }
+                tokio::time::sleep(LATE_WRITE_DELAY).await;
+                data.write(from, &written);
+                s.write_all(&simple_reply(0, r.cookie)).await?;
+                continue;
+            }
             if script.get() != Script::Swallow {
                 data.write(from, &written);
             }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -131,6 +131,7 @@
         shard: Option<u16>,
         units: f64,
         time_remaining: Duration,
+        at_most_once: bool,
     },
     AttemptEnds {
         attempt: prop::sample::Index,
@@ -175,10 +176,17 @@
         Readiness::Draining,
         Readiness::Removed,
     ]);
-    let request = (0..4_u16, 0..4_u64, 0..4_u64, prop::option::weighted(0.9, 0..2_u16), 0.0..9.0, span(6000));
+    let request = (
+        0..4_u16,
+        0..4_u64,
+        0..4_u64,
+        prop::option::weighted(0.9, 0..2_u16),
+        0.0..9.0,
+        (span(6000), prop::bool::weighted(0.2)),
+    );
     prop_oneof![
-        8 => request.prop_map(|(class, volume, key, shard, units, time_remaining)| Step::RequestArrives {
-            class, volume, key, shard, units, time_remaining,
+        8 => request.prop_map(|(class, volume, key, shard, units, (time_remaining, at_most_once))| {
+            Step::RequestArrives { class, volume, key, shard, units, time_remaining, at_most_once }
         }),
         4 => (index(), outcome, prop::bool::weighted(0.2)).prop_map(|(attempt, outcome, body_consumed)| {
             Step::AttemptEnds { attempt, outcome, body_consumed }
@@ -393,9 +401,15 @@
             request.deadline
         );
         request.answered = true;
-        if let Answer::Rejected(retry_after) = answer {
-            let within_limit = max_retry_after.is_zero() || *retry_after <= max_retry_after;
-            assert!(*retry_after > Duration::ZERO && within_limit, "{id}: {retry_after:?}");
+        if let Answer::Rejected(Rejection { retry_after, may_have_run }) = *answer {
+            let within_limit = max_retry_after.is_zero() || retry_after <= max_retry_after;
+            assert!(retry_after > Duration::ZERO && within_limit, "{id}: {retry_after:?}");
+            let is_proven = |attempt: &Attempt| attempt.never_ran || (attempt.in_flight && !attempt.written);
+            assert!(
+                may_have_run || request.attempts.iter().all(is_proven),
+                "{id} may have run, and its rejection denies it: {:?}",
+                request.attempts
+            );
             let is_retry_safe = match (request.class.idempotency, request.class.dedup_scope) {
                 (Idempotency::Idempotent, _) | (Idempotency::Keyed, DedupScope::All) => true,
                 _ => request.attempts.iter().all(|attempt| attempt.never_ran),
@@ -432,12 +446,16 @@
 
     fn run_step(&mut self, step: &Step) {
         match step {
-            Step::RequestArrives { class, volume, key, shard, units, time_remaining } => {
+            Step::RequestArrives { class, volume, key, shard, units, time_remaining, at_most_once } => {
                 let class = class % self.settings.classes.len() as u16;
+                let mut effective_class = self.settings.class(class);
+                if *at_most_once {
+                    effective_class.idempotency = Idempotency::NotIdempotent;
+                }
                 let plan = *volume as u16 % self.settings.plans.len() as u16;
                 let id = self.requests.len() as u64;
                 self.requests.push(Request {
-                    class: self.settings.class(class),
+                    class: effective_class,
                     plan: self.settings.plans[usize::from(plan)].clone(),
                     volume: *volume,
                     key: *key,
@@ -458,6 +476,7 @@
                     units: *units,
                     time_remaining: *time_remaining,
                     client_retry: false,
+                    at_most_once: *at_most_once,
                 };
                 self.input(Input::RequestArrived { id, request });
             }
