Settle a buffered write only once its endpoint has it on stable storage

Seen by clients: with write-back, a write and its flush were acknowledged; the endpoint failed to make the write durable and said so. The initiator read the same bytes back and dropped the write from its log.

Cause: "the same bytes: it ran, and is settled". That a write ran does not say that it is on stable storage.

Change: the read back flushes the endpoint behind the read on the same connection; the buffer is told StoredData (Durable, MaybeVolatile, Unreadable) in place of bytes, and settles durable bytes only. A failing flush is tried again with its read; where a flush proves nothing of another connection's writes (no MULTI_CONN) the write is in doubt.

Test: tests/endpoint_durability.rs, real process, six rows (failing write, failing flush, closed connection, no flush succeeds, no MULTI_CONN, another process reads back); crates/writeback/tests/crashes.rs crashes endpoints too and counts lost runs as none.

--- a/crates/writeback/src/buffer.rs
+++ b/crates/writeback/src/buffer.rs
@@ -2,7 +2,7 @@
 
 use crate::barriers::Barriers;
 use crate::config::{Config, InDoubtPolicy};
-use crate::events::{AttemptOutcome, CommandId, Effect, Input, OperatorDecision, RejectReason};
+use crate::events::{AttemptOutcome, CommandId, Effect, Input, OperatorDecision, RejectReason, StoredData};
 use crate::journal::Journal;
 use crate::overlay::Overlay;
 use crate::piece::{BufferedPiece, Piece, PieceId, PieceState, UnsettledPiece};
@@ -10,7 +10,6 @@
 use crate::record::Record;
 use crate::recovery::{Replay, UnreadableRecord};
 use crate::send_queue::SendQueue;
-use bytes::Bytes;
 use shaletack_wal::{Identity, RecordNumber, RecoveredLog};
 use std::time::Duration;
 
@@ -251,21 +250,30 @@
         }
     }
 
-    fn read_back(&mut self, now: Duration, id: PieceId, data: Option<Bytes>, effects: &mut Vec<Effect>) {
+    /// Decides what becomes of a piece whose earlier attempts can no longer run. It is settled only if its
+    /// data is durable at the endpoint: an endpoint that loses its memory would lose the only copy.
+    fn read_back(&mut self, now: Duration, id: PieceId, stored: StoredData, effects: &mut Vec<Effect>) {
         let Some(buffered) = self.pieces.get_in_state(id, PieceState::ReadingBack) else { return };
-        match data {
-            Some(data) if data == buffered.piece.data => self.settle(id, effects),
-            Some(_) => match self.config.in_doubt_policy {
+        match stored {
+            StoredData::Durable(data) if data == buffered.piece.data => self.settle(id, effects),
+            // The piece ran, so sending it again would run it twice.
+            StoredData::MaybeVolatile(data) if data == buffered.piece.data => self.doubt(id, effects),
+            StoredData::Durable(_) | StoredData::MaybeVolatile(_) => match self.config.in_doubt_policy {
                 InDoubtPolicy::Resend => self.allow_resend(id, effects),
-                InDoubtPolicy::AskOperator => {
-                    buffered.state = PieceState::InDoubt;
-                    effects.push(Effect::InDoubt(id));
-                }
+                InDoubtPolicy::AskOperator => self.doubt(id, effects),
             },
-            None => buffered.state = PieceState::AwaitingExpiry(now + READ_BACK_RETRY_DELAY),
+            StoredData::Unreadable => {
+                buffered.state = PieceState::AwaitingExpiry(now + READ_BACK_RETRY_DELAY);
+            }
         }
     }
 
+    /// Leaves a piece to an operator.
+    fn doubt(&mut self, id: PieceId, effects: &mut Vec<Effect>) {
+        self.pieces.set_state(id, PieceState::InDoubt);
+        effects.push(Effect::InDoubt(id));
+    }
+
     /// Applies an operator's decision to a piece. A piece that still awaits the end of its earlier attempts
     /// may be decided too: the operator guarantees that none of them can still run.
     fn decide(&mut self, id: PieceId, decision: OperatorDecision, effects: &mut Vec<Effect>) {
--- a/crates/writeback/src/events.rs
+++ b/crates/writeback/src/events.rs
@@ -20,6 +20,17 @@
     Unknown,
 }
 
+/// What a read of an endpoint's data at the location of a piece found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoredData {
+    /// This data is on the endpoint's stable storage.
+    Durable(Bytes),
+    /// The endpoint returned this data, which it may hold in memory only.
+    MaybeVolatile(Bytes),
+    /// The data could not be read, or could not be made durable.
+    Unreadable,
+}
+
 /// An operator's decision about a write in doubt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OperatorDecision {
@@ -87,8 +98,8 @@
     ReadBack {
         /// The piece.
         piece: PieceId,
-        /// The data at the endpoint, or `None` if it could not be read.
-        data: Option<Bytes>,
+        /// The data at the endpoint.
+        data: StoredData,
     },
     /// An operator decides about a piece in doubt.
     Decide {
@@ -124,7 +135,8 @@
     Withdraw(PieceId),
     /// The intent of a piece is durable: send the piece once, and report [`Input::AttemptEnded`].
     Send(PieceId),
-    /// Read the endpoint's data at the location of a piece, and report [`Input::ReadBack`].
+    /// Read the endpoint's data at the location of a piece, find out whether it is durable, and report
+    /// [`Input::ReadBack`].
     ReadBack(PieceId),
     /// A piece is in doubt: only an operator can settle it.
     InDoubt(PieceId),
--- a/crates/writeback/src/lib.rs
+++ b/crates/writeback/src/lib.rs
@@ -32,7 +32,7 @@
 
 pub use buffer::{Buffer, BufferUsage, RecoveredBuffer};
 pub use config::{Config, InDoubtPolicy};
-pub use events::{AttemptOutcome, CommandId, Effect, Input, OperatorDecision, RejectReason};
+pub use events::{AttemptOutcome, CommandId, Effect, Input, OperatorDecision, RejectReason, StoredData};
 pub use overlay::{Overlay, OverlaySpan};
 pub use piece::{Piece, PieceId, PieceState, UnsettledPiece};
 pub use recovery::UnreadableRecord;
--- a/crates/writeback/tests/crashes.rs
+++ b/crates/writeback/tests/crashes.rs
@@ -1,5 +1,5 @@
 //! Simulates a buffer with a disk that tears writes, an endpoint whose attempts end in any way, and crashes
-//! at any point. No acknowledged data is lost, no write reaches the endpoint twice, and overlapping writes
+//! of both at any point. No acknowledged data is lost, no write reaches the endpoint twice, and overlapping writes
 //! keep their order.
 
 use bytes::Bytes;
@@ -7,7 +7,7 @@
 use shaletack_wal::{recover, Commit, Identity, LogConfig, StoredSegment};
 use shaletack_writeback::{
     AttemptOutcome, Buffer, CommandId, Config, Effect, InDoubtPolicy, Input, OperatorDecision, Piece,
-    PieceId, PieceState, RecoveredBuffer, RejectReason,
+    PieceId, PieceState, RecoveredBuffer, RejectReason, StoredData,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -72,6 +72,8 @@
     in_flight: Vec<PieceId>,
     attempts: Vec<Attempt>,
     endpoint_cells: Vec<u32>,
+    /// The cells that survive a crash of the endpoint.
+    stable_cells: Vec<u32>,
     /// How often each value was written to each cell of the endpoint, by value and cell.
     write_counts: BTreeMap<(u32, u64), u32>,
     history: Vec<CellHistory>,
@@ -97,6 +99,7 @@
             in_flight: Vec::new(),
             attempts: Vec::new(),
             endpoint_cells: vec![0; CELLS as usize],
+            stable_cells: vec![0; CELLS as usize],
             write_counts: BTreeMap::new(),
             history: vec![CellHistory { values: vec![0], floor: 0 }; CELLS as usize],
             acknowledged: BTreeSet::new(),
@@ -190,6 +193,7 @@
         }
     }
 
+    /// Runs an attempt: its data is in the endpoint's memory.
     fn run_attempt(&mut self, n: usize) -> PieceId {
         let Attempt { piece, endpoint_offset, data, .. } = self.attempts.remove(n);
         for (i, value) in data.chunks(4).enumerate() {
@@ -211,6 +215,7 @@
         match random >> 8 & 3 {
             0 | 1 => {
                 self.run_attempt(n);
+                self.flush_endpoint();
                 self.step(Input::AttemptEnded { piece: id, outcome: AttemptOutcome::Completed });
             }
             2 => {
@@ -237,12 +242,33 @@
         self.step(Input::TimerFired);
     }
 
+    fn flush_endpoint(&mut self) {
+        self.stable_cells.clone_from(&self.endpoint_cells);
+    }
+
+    /// Crashes the endpoint. Writes that it held in memory only did not run.
+    fn crash_endpoint(&mut self) {
+        for (cell, lost) in self.endpoint_cells.iter().enumerate() {
+            if *lost != self.stable_cells[cell] {
+                self.write_counts.remove(&(*lost, cell as u64));
+            }
+        }
+        self.endpoint_cells.clone_from(&self.stable_cells);
+    }
+
     fn read_back(&mut self, random: u64) {
         let Some(id) = self.read_backs.pop() else { return };
         let Some(piece) = self.buffer.piece(id) else { return };
         let cells = &self.endpoint_cells[(piece.endpoint_offset / 4) as usize..][..piece.data.len() / 4];
         let stored = cells.iter().flat_map(|v| v.to_le_bytes()).collect::<Vec<u8>>();
-        let data = (random & 3 != 0).then(|| stored.into());
+        let data = match random & 7 {
+            0 | 1 => StoredData::Unreadable,
+            2 | 3 => StoredData::MaybeVolatile(stored.into()),
+            _ => {
+                self.flush_endpoint();
+                StoredData::Durable(stored.into())
+            }
+        };
         self.step(Input::ReadBack { piece: id, data });
     }
 
@@ -252,7 +278,12 @@
         let piece = self.buffer.piece(id).unwrap();
         let value = u32::from_le_bytes(piece.data[..4].try_into().unwrap());
         let ran = self.write_counts.contains_key(&(value, piece.endpoint_offset / 4));
-        let decision = if ran { OperatorDecision::Drop } else { OperatorDecision::Resend };
+        let decision = if ran {
+            self.flush_endpoint();
+            OperatorDecision::Drop
+        } else {
+            OperatorDecision::Resend
+        };
         self.step(Input::Decide { piece: id, decision });
     }
 
@@ -316,7 +347,7 @@
 }
 
 fn steps() -> impl Strategy<Value = Vec<(u8, u64)>> {
-    prop::collection::vec((0u8..20, any::<u64>()), 1..160)
+    prop::collection::vec((0u8..21, any::<u64>()), 1..160)
 }
 
 fn run_simulation(in_doubt_policy: InDoubtPolicy, steps: Vec<(u8, u64)>) {
@@ -338,6 +369,7 @@
             18 => {
                 simulation.decide();
             }
+            19 => simulation.crash_endpoint(),
             _ => simulation.crash(random),
         }
         simulation.check();
@@ -348,7 +380,7 @@
         simulation.advance_time(SECOND, 0);
         simulation.finish_commit();
         while !simulation.read_backs.is_empty() {
-            simulation.read_back(1);
+            simulation.read_back(7);
         }
         while let Some(id) = simulation.ready.pop_first() {
             simulation.step(Input::Start(id));
--- a/src/nbd/durability.rs
+++ b/src/nbd/durability.rs
@@ -8,6 +8,48 @@
 
 use super::codec::transmission_flag;
 
+/// What a read proves about the data that it returned.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReadDurability {
+    /// The data is on stable storage.
+    Durable,
+    /// The data may be in the endpoint's memory only.
+    #[default]
+    Unknown,
+}
+
+/// How a read finds out whether the data that it returned is durable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReadVerification {
+    /// A flush that succeeds behind the read, on the same connection and so in the same process, proves that
+    /// what was read is durable.
+    FlushBehind,
+    /// The endpoint has neither FUA nor FLUSH, so it holds nothing in memory only.
+    WriteThrough,
+    /// Nothing proves it: there is no flush, or a flush covers only what was written on its own connection.
+    Impossible,
+}
+
+impl ReadVerification {
+    /// Returns how reads are verified at an endpoint whose export has these transmission flags.
+    pub fn of(transmission_flags: u16) -> Self {
+        let supports = |flag| transmission_flags & flag != 0;
+        match (supports(transmission_flag::FLUSH), supports(transmission_flag::MULTI_CONN)) {
+            (true, true) => ReadVerification::FlushBehind,
+            (false, _) if !supports(transmission_flag::FUA) => ReadVerification::WriteThrough,
+            _ => ReadVerification::Impossible,
+        }
+    }
+
+    /// Returns what a read proves whose verification succeeded.
+    pub fn proves(self) -> ReadDurability {
+        match self {
+            ReadVerification::FlushBehind | ReadVerification::WriteThrough => ReadDurability::Durable,
+            ReadVerification::Impossible => ReadDurability::Unknown,
+        }
+    }
+}
+
 /// How a write becomes durable at an endpoint before it is acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum WriteDurability {
--- a/src/nbd/endpoint_client.rs
+++ b/src/nbd/endpoint_client.rs
@@ -3,6 +3,7 @@
 //! A handshake takes several round trips, so a connection whose last reply was read completely is kept for
 //! the next command to the same endpoint. A connection carries one command at a time.
 
+use super::durability::ReadDurability;
 use super::endpoint_connection::EndpointConnection;
 use crate::broker::{AttemptProgress, AttemptResult};
 use crate::outcome::TransportOutcome;
@@ -10,7 +11,7 @@
 use crate::runtime::sockets::{connect, connect_outcome};
 use bytes::Bytes;
 use futures_util::future::{FutureExt, LocalBoxFuture};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,14 +42,26 @@
 pub struct EndpointCommand {
     /// Provides the connections.
     pub client: Rc<EndpointClient>,
-    /// The command type: READ, WRITE or FLUSH.
-    pub command: u16,
+    /// What the endpoint is to do.
+    pub operation: Operation,
     /// The offset of the range in the endpoint's export, in bytes.
     pub offset: u64,
     /// The length of the range, in bytes.
     pub length: u32,
-    /// The data of a write; empty for other commands.
-    pub data: Bytes,
+}
+
+/// The operation of a command.
+#[derive(Clone, Debug)]
+pub enum Operation {
+    /// Reads the range.
+    Read,
+    /// Reads the range and finds out whether its data is durable. What a served read proved is stored in the
+    /// cell.
+    VerifiedRead(Rc<Cell<ReadDurability>>),
+    /// Writes this data to the range.
+    Write(Bytes),
+    /// Makes all earlier writes durable.
+    Flush,
 }
 
 impl EndpointClient {
--- a/src/nbd/endpoint_connection.rs
+++ b/src/nbd/endpoint_connection.rs
@@ -8,11 +8,12 @@
     Request, FIXED_NEWSTYLE, INIT_MAGIC, NO_ZEROES, OPT_MAGIC, REP_MAGIC, SIMPLE_REPLY_MAGIC,
     STRUCTURED_REPLY_MAGIC,
 };
-use super::durability::WriteDurability;
-use super::endpoint_client::EndpointCommand;
+use super::durability::{ReadDurability, ReadVerification, WriteDurability};
+use super::endpoint_client::{EndpointCommand, Operation};
 use crate::outcome::TransportOutcome;
 use crate::runtime::sockets::Uninterrupted;
 use bytes::Bytes;
+use std::cell::Cell;
 use std::io;
 use std::ops::Range;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -58,12 +59,14 @@
     }
 
     /// Returns the reply to a command, given the reply to its last step.
-    fn new(command: u16, last_step: Reply) -> Self {
+    fn new(operation: &Operation, last_step: Reply) -> Self {
         match last_step.error {
             0 => EndpointReply { outcome: TransportOutcome::Complete, data: last_step.data.into() },
             // The endpoint is shutting down. A command that changes nothing may be sent to another endpoint.
             // A write may have run, also where it is the flush behind the write that was rejected.
-            errno::SHUTDOWN if command != cmd::WRITE => Self::without_data(TransportOutcome::Rejected),
+            errno::SHUTDOWN if !matches!(operation, Operation::Write(_)) => {
+                Self::without_data(TransportOutcome::Rejected)
+            }
             _ => Self::without_data(TransportOutcome::EndpointError),
         }
     }
@@ -166,31 +169,67 @@
         self.stream.buffer().is_empty() && nothing_to_read
     }
 
-    fn supports(&self, flag: u16) -> bool {
-        self.transmission_flags & flag != 0
-    }
-
     /// Sends a command and reads its complete reply.
     ///
     /// # Errors
     /// The connection failed or the endpoint violated the protocol. The connection must not be used again.
     pub async fn execute(&mut self, command: &EndpointCommand) -> Result<EndpointReply, TransportOutcome> {
-        let &EndpointCommand { command: command_type, offset, length, .. } = command;
-        if command_type == cmd::FLUSH && !self.supports(transmission_flag::FLUSH) {
-            // An endpoint without FLUSH is taken to write to stable storage before it replies.
-            return Ok(EndpointReply::without_data(TransportOutcome::Complete));
+        let &EndpointCommand { offset, length, .. } = command;
+        let reply = match &command.operation {
+            Operation::Read => self.read(offset, length).await?,
+            Operation::VerifiedRead(durability) => self.read_verified(offset, length, durability).await?,
+            Operation::Write(data) => self.write(offset, length, data).await?,
+            Operation::Flush => self.flush().await?,
+        };
+        Ok(EndpointReply::new(&command.operation, reply))
+    }
+
+    async fn read(&mut self, offset: u64, length: u32) -> Result<Reply, TransportOutcome> {
+        let request = self.next_request(0, cmd::READ, offset, length);
+        self.exchange(request, &Bytes::new()).await
+    }
+
+    async fn read_verified(
+        &mut self,
+        offset: u64,
+        length: u32,
+        durability: &Cell<ReadDurability>,
+    ) -> Result<Reply, TransportOutcome> {
+        // An earlier attempt may have proved something about data that was not served.
+        durability.set(ReadDurability::Unknown);
+        let verification = ReadVerification::of(self.transmission_flags);
+        let reply = self.read(offset, length).await?;
+        if reply.error == 0 && verification == ReadVerification::FlushBehind {
+            let flushed = self.flush().await?;
+            if flushed.error != 0 {
+                return Ok(flushed);
+            }
         }
+        durability.set(verification.proves());
+        Ok(reply)
+    }
+
+    async fn write(&mut self, offset: u64, length: u32, data: &Bytes) -> Result<Reply, TransportOutcome> {
         let durability = WriteDurability::of(self.transmission_flags);
-        let is_write = command_type == cmd::WRITE;
-        let fua = is_write && durability == WriteDurability::ForceUnitAccess;
-        let flags = if fua { command_flag::FUA } else { 0 };
-        let request = self.next_request(flags, command_type, offset, length);
-        let mut reply = self.exchange(request, &command.data).await?;
-        if is_write && reply.error == 0 && durability == WriteDurability::FlushBehind {
-            let flush = self.next_request(0, cmd::FLUSH, 0, 0);
-            reply = self.exchange(flush, &Bytes::new()).await?;
+        let flags = match durability {
+            WriteDurability::ForceUnitAccess => command_flag::FUA,
+            WriteDurability::FlushBehind | WriteDurability::WriteThrough => 0,
+        };
+        let request = self.next_request(flags, cmd::WRITE, offset, length);
+        let reply = self.exchange(request, data).await?;
+        if reply.error == 0 && durability == WriteDurability::FlushBehind {
+            return self.flush().await;
+        }
+        Ok(reply)
+    }
+
+    /// Flushes the endpoint. One without FLUSH is taken to write to stable storage before it replies.
+    async fn flush(&mut self) -> Result<Reply, TransportOutcome> {
+        if self.transmission_flags & transmission_flag::FLUSH == 0 {
+            return Ok(Reply { error: 0, data: Vec::new() });
         }
-        Ok(EndpointReply::new(command_type, reply))
+        let request = self.next_request(0, cmd::FLUSH, 0, 0);
+        self.exchange(request, &Bytes::new()).await
     }
 
     fn next_request(&mut self, flags: u16, command: u16, offset: u64, length: u32) -> Request {
--- a/src/nbd/front/execute.rs
+++ b/src/nbd/front/execute.rs
@@ -11,7 +11,7 @@
 use crate::broker::{Answer, IncomingRequest, Rejection};
 use crate::interface::Settings;
 use crate::nbd::codec::{cmd, command_flag, Request};
-use crate::nbd::endpoint_client::EndpointCommand;
+use crate::nbd::endpoint_client::{EndpointCommand, Operation};
 use crate::writeback::{WriteBackCache, WriteError};
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -194,12 +194,16 @@
     async fn request_part(&self, request: &Request, part: Part, data: Bytes) -> Answer {
         let write_back = self.shared.write_back.as_ref();
         let _demand_guard = write_back.map(|cache| cache.register_client_request(part.shard));
+        let operation = match request.command {
+            cmd::WRITE => Operation::Write(data),
+            cmd::FLUSH => Operation::Flush,
+            _ => Operation::Read,
+        };
         let command = EndpointCommand {
             client: self.shared.endpoints.clone(),
-            command: request.command,
+            operation,
             offset: part.endpoint_offset,
             length: part.length,
-            data,
         };
         self.shared.host.submit(self.incoming_request(request, part), Rc::new(command)).await
     }
--- a/src/nbd/mod.rs
+++ b/src/nbd/mod.rs
@@ -5,7 +5,7 @@
 //! messages with [`codec`].
 
 pub mod codec;
-mod durability;
+pub mod durability;
 pub mod endpoint_client;
 mod endpoint_connection;
 pub mod front;
--- a/src/writeback/attempts.rs
+++ b/src/writeback/attempts.rs
@@ -1,12 +1,12 @@
 //! Requests for buffered pieces, sent to their endpoints through the core like requests of clients.
 
 use crate::broker::{Answer, IncomingRequest, Rejection};
-use crate::nbd::codec::cmd;
-use crate::nbd::endpoint_client::{EndpointClient, EndpointCommand};
+use crate::nbd::durability::ReadDurability;
+use crate::nbd::endpoint_client::{EndpointClient, EndpointCommand, Operation};
 use crate::operator::{Export, OperatorConfig};
 use crate::runtime::host::Host;
-use bytes::Bytes;
-use shaletack_writeback::{AttemptOutcome, Piece, PieceId};
+use shaletack_writeback::{AttemptOutcome, Piece, PieceId, StoredData};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,7 +49,8 @@
 
     /// Writes a piece to its endpoint once.
     pub async fn write(&self, to_send: PieceToSend) -> AttemptOutcome {
-        match self.request(RequestKind::Write, to_send).await {
+        let operation = Operation::Write(to_send.piece.data.clone());
+        match self.submit(RequestKind::Write, to_send, operation).await {
             Answer::Served(_) => AttemptOutcome::Completed,
             Answer::Rejected(Rejection { retry_after, may_have_run: false }) => {
                 tokio::time::sleep(retry_after).await;
@@ -59,26 +60,24 @@
         }
     }
 
-    /// Reads the endpoint's data at the location of a piece. Returns `None` if it could not be read.
-    pub async fn read_back(&self, to_send: PieceToSend) -> Option<Bytes> {
-        match self.request(RequestKind::ReadBack, to_send).await {
-            Answer::Served(data) => Some(data),
-            Answer::Rejected(_) | Answer::Failed => None,
+    /// Reads the endpoint's data at the location of a piece, and whether that is durable.
+    pub async fn read_back(&self, to_send: PieceToSend) -> StoredData {
+        let durability = Rc::new(Cell::new(ReadDurability::Unknown));
+        let operation = Operation::VerifiedRead(durability.clone());
+        match self.submit(RequestKind::ReadBack, to_send, operation).await {
+            Answer::Served(data) if durability.get() == ReadDurability::Durable => StoredData::Durable(data),
+            Answer::Served(data) => StoredData::MaybeVolatile(data),
+            Answer::Rejected(_) | Answer::Failed => StoredData::Unreadable,
         }
     }
 
-    async fn request(&self, kind: RequestKind, to_send: PieceToSend) -> Answer {
+    async fn submit(&self, kind: RequestKind, to_send: PieceToSend, operation: Operation) -> Answer {
         let PieceToSend { id, export, piece } = to_send;
         let length = piece.data.len() as u32;
         let request = self.incoming_request(kind, id, &export, piece.shard, length);
-        let (command, data) = match kind {
-            RequestKind::Write => (cmd::WRITE, piece.data),
-            RequestKind::ReadBack => (cmd::READ, Bytes::new()),
-        };
         let client = self.endpoints.clone();
-        let offset = piece.endpoint_offset;
-        let endpoint_command = EndpointCommand { client, command, offset, length, data };
-        self.host.submit(request, Rc::new(endpoint_command)).await
+        let command = EndpointCommand { client, operation, offset: piece.endpoint_offset, length };
+        self.host.submit(request, Rc::new(command)).await
     }
 
     fn incoming_request(
--- a/tests/endpoint_durability.rs
+++ b/tests/endpoint_durability.rs
@@ -153,3 +153,74 @@
         }
     });
 }
+
+/// How the endpoint treats a buffered write, and then the read that finds out what became of it.
+struct BufferedCase {
+    name: &'static str,
+    endpoint_flags: u16,
+    /// The script of the endpoint when the write comes; it keeps the data in memory only.
+    at_write: Script,
+    /// The script of the endpoint from then on.
+    afterwards: Script,
+    /// The process is killed once the write was sent, and another one finds its log.
+    recovered: bool,
+}
+
+impl BufferedCase {
+    const fn new(name: &'static str, endpoint_flags: u16, at_write: Script) -> Self {
+        BufferedCase { name, endpoint_flags, at_write, afterwards: Script::Serve, recovered: false }
+    }
+}
+
+/// How long a buffered write has to be sent, and to be read back and settled.
+const SETTLE_TIME: Duration = Duration::from_millis(2500);
+
+/// Guards against an acknowledged and flushed write being lost, because its data was found in the memory of an
+/// endpoint and dropped from the log.
+#[test]
+fn a_buffered_write_is_kept_until_its_endpoint_has_it_on_stable_storage() {
+    run_test(async {
+        let cases = [
+            BufferedCase::new("the endpoint fails the write", ALL_FLAGS, Script::Error),
+            BufferedCase::new("the endpoint fails the flush behind it", NO_FUA, Script::FailFlush),
+            BufferedCase::new("the endpoint closes at the flush", NO_FUA, Script::CloseAtFlush),
+            BufferedCase {
+                afterwards: Script::FailFlush,
+                ..BufferedCase::new("no flush succeeds", ALL_FLAGS, Script::Error)
+            },
+            BufferedCase::new("a flush proves nothing", NO_MULTI_CONN, Script::Error),
+            BufferedCase {
+                recovered: true,
+                ..BufferedCase::new("another process reads back", ALL_FLAGS, Script::Silent)
+            },
+        ];
+        for (number, case) in cases.iter().enumerate() {
+            let start = || StubNbdEndpoint::start_with_flags(case.at_write, SHARD_BYTES, case.endpoint_flags);
+            let endpoints = [start().await, start().await];
+            let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+                .join(format!("{}-durability-{number}", std::process::id()));
+            let _ = std::fs::remove_dir_all(&folder);
+            let text = operator_file(&[&endpoints[0], &endpoints[1]], Some(&folder));
+            let file = format!("durability-buffered-{number}.json");
+            let mut process = Process::start(&file, &text);
+            let mut client = NbdClient::go(process.client_address().await).await;
+            assert_eq!(write(&mut client, 0, 7, 0).await, 0, "{}", case.name);
+            flush(&mut client, case.name).await;
+            endpoints[0].received.notified().await;
+            if case.recovered {
+                process.0.kill().unwrap();
+                process.0.wait().unwrap();
+                process = Process::start(&file, &text);
+                client = NbdClient::go(process.client_address().await).await;
+            } else {
+                tokio::time::sleep(RELOAD_TIME).await;
+            }
+            endpoints[0].script.set(case.afterwards);
+            tokio::time::sleep(SETTLE_TIME).await;
+            endpoints[0].crash();
+            let data = read(&mut client, 0).await;
+            assert!(data.iter().all(|byte| *byte == 7), "{}: flushed data is lost", case.name);
+            assert_eq!(endpoints[0].count(cmd::WRITE), 1, "{}: how often the write was sent", case.name);
+        }
+    });
+}
