Count what clients make the process hold in one budget before it is read

Cause: memory was estimated at 128 KiB a connection and never counted. The library reads 128 KiB of a body that nobody takes and passes it on whole; 16 parsed heads of 96 fields take 30 KiB each; buffers grow by doubling.

Change: runtime/memory.rs is one budget under memory_mb; connections, heads, bodies, bytes sent ahead and answers are reserved before they are read (net/downstream/memory.rs). The library gets no more of a body than somebody waits for, 1 KiB of heads at a time and no request before the last one is answered. Without room: not read, 503, or the incomplete request that holds most for longest is closed. A client whose bytes wait unread no longer counts as silent.

--- a/src/app/serve_platform.rs
+++ b/src/app/serve_platform.rs
@@ -14,6 +14,7 @@
 use shaletack::net::management;
 use shaletack::net::upstream::endpoint_clients::EndpointClients;
 use shaletack::runtime::host::Host;
+use shaletack::runtime::memory::MemoryBudget;
 use shaletack::runtime::sockets;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -30,6 +31,8 @@
 const BASE_MEMORY_MIB: u64 = 8;
 /// The most memory that one client connection takes, in bytes: a whole body and the buffers for it.
 const CONNECTION_BYTES: u64 = 128 << 10;
+/// The memory that a connection to an endpoint takes without a body, in bytes.
+const ENDPOINT_CONNECTION_BYTES: u64 = 16 << 10;
 /// The number of client connections that are allowed however little memory there is.
 const MIN_CONNECTIONS: u64 = 16;
 /// Connections to endpoints may take one of this many descriptors.
@@ -161,7 +164,8 @@
         ready.set(true);
         let hand_over = Rc::new(move || link.is_connected().then(|| link.yield_budgets()).is_some());
         let max_connections = budget.clients.min(connections_in_memory(config.max_memory_mib));
-        let front = Front { host, endpoint_clients, max_connections, request_ids, hand_over };
+        let memory = MemoryBudget::new(client_memory(config.max_memory_mib, budget.endpoints));
+        let front = Front { host, endpoint_clients, max_connections, memory, request_ids, hand_over };
         let mut terminate = signals.terminate;
         front::serve(front, listener, async move {
             terminate.recv().await;
@@ -216,6 +220,16 @@
     (bytes / CONNECTION_BYTES).max(MIN_CONNECTIONS) as usize
 }
 
+/// Returns the memory that clients may make the process hold, in bytes; 0 MiB: memory is not limited.
+fn client_memory(max_memory_mib: u64, endpoint_connections: usize) -> usize {
+    if max_memory_mib == 0 {
+        return usize::MAX;
+    }
+    let total = max_memory_mib.saturating_sub(BASE_MEMORY_MIB) << 20;
+    let endpoints = endpoint_connections as u64 * ENDPOINT_CONNECTION_BYTES;
+    total.saturating_sub(endpoints).max(MIN_CONNECTIONS * CONNECTION_BYTES) as usize
+}
+
 async fn serve_management(
     host: &Host,
     link: &HandoverLink,
--- a/src/net/downstream/client_stream.rs
+++ b/src/net/downstream/client_stream.rs
@@ -15,9 +15,11 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// The number of bytes of pipelined requests from which on actix-http is given no more before the response.
-/// Further bytes are held in [`ReadAhead`].
-const MAX_PIPELINED_IN_LIBRARY: usize = 16 * 1024;
+/// The number of bytes of heads that actix-http is given at a time, before it parses them. Parsed heads of
+/// pipelined requests take far more memory than their bytes, which are held in [`ReadAhead`] instead.
+const HEAD_BYTES_PER_TURN: usize = 1024;
+/// The number of bytes of a body that actix-http is given while nobody waits for more.
+const MAX_UNWANTED_BODY: usize = 16 * 1024;
 /// The number of bytes after which a connection is closed before the response, if the client sent more
 /// pipelined requests than are held. Up to then the bytes are read and dropped, and the connection closes
 /// after the response.
@@ -82,12 +84,18 @@
         }
         let mut buffer = [0; BUFFER_SIZE];
         for _ in 0..MAX_READ_PER_TURN / BUFFER_SIZE {
+            if !self.connection.memory.reserve_read_ahead(BUFFER_SIZE) {
+                self.connection.reader.replace(Some(cx.waker().clone()));
+                return;
+            }
             let mut part = ReadBuf::new(&mut buffer);
             let Poll::Ready(read) = self.poll_socket(cx, &mut part) else {
+                self.connection.memory.release_read_ahead(BUFFER_SIZE);
                 self.connection.reader.replace(Some(cx.waker().clone()));
                 return;
             };
             let bytes = part.filled();
+            self.connection.memory.release_read_ahead(BUFFER_SIZE - bytes.len());
             if read.is_err() || bytes.is_empty() {
                 self.read_ended = true;
                 self.connection.close_requested.notify_one();
@@ -95,6 +103,7 @@
             }
             self.connection.arrivals.borrow_mut().arrived(Instant::now(), bytes.len());
             if !self.read_ahead.push(bytes) {
+                self.connection.memory.release_read_ahead(self.read_ahead.len() + bytes.len());
                 self.read_ahead.clear();
                 self.connection.read_ahead_overflowed.set(true);
                 break;
@@ -105,16 +114,49 @@
     }
 
     /// Gives actix-http the held bytes, which come before any that are still to be read.
-    fn take_read_ahead(&mut self, out: &mut ReadBuf<'_>) {
-        let bytes = self.read_ahead.pop(out.remaining().min(MAX_READ_PER_TURN - self.read_in_turn));
+    /// Returns `false` if no memory is left for them.
+    fn take_read_ahead(&mut self, out: &mut ReadBuf<'_>) -> bool {
+        let wanted = self.read_ahead.len().min(out.remaining());
+        let Some(room) = self.reserve_read(wanted) else { return false };
+        let bytes = self.read_ahead.pop(room);
+        self.connection.memory.release_read_ahead(bytes.len());
         out.put_slice(&bytes);
         self.connection.read_ahead_bytes.set(self.read_ahead.len());
         if self.connection.is_idle() {
             self.connection.enter(Stage::ReadingHead);
         }
-        self.read_in_turn += bytes.len();
-        self.connection.stage_bytes.set(self.connection.stage_bytes.get() + bytes.len());
+        self.count_given(room, bytes.len());
         self.connection.last_read_at.set(Instant::now());
+        true
+    }
+
+    /// Returns how many of `wanted` bytes may be read now, after their memory was reserved; `None` if no memory
+    /// is left.
+    fn reserve_read(&self, wanted: usize) -> Option<usize> {
+        if !self.connection.is_reading_head() {
+            return Some(wanted.min(MAX_READ_PER_TURN - self.read_in_turn));
+        }
+        let room = wanted.min(HEAD_BYTES_PER_TURN - self.read_in_turn.min(HEAD_BYTES_PER_TURN));
+        self.connection.memory.reserve_head(room).then_some(room)
+    }
+
+    /// Counts `count` bytes that actix-http was given of `room` bytes that were reserved.
+    fn count_given(&mut self, room: usize, count: usize) {
+        let connection = &self.connection;
+        if connection.is_reading_head() {
+            connection.memory.unread_head(room - count);
+        } else {
+            connection.body_given(count);
+        }
+        self.read_in_turn += count;
+        connection.stage_bytes.set(connection.stage_bytes.get() + count);
+    }
+
+    /// Returns whether actix-http is to be given no more in this turn of the task, so that it parses what it
+    /// has, and other tasks run.
+    fn is_turn_over(&self) -> bool {
+        let limit = if self.connection.is_reading_head() { HEAD_BYTES_PER_TURN } else { MAX_READ_PER_TURN };
+        self.read_in_turn >= limit
     }
 
     /// Reads and drops bytes. Ready once the client has closed its sending half or the connection is lost.
@@ -135,14 +177,10 @@
 }
 
 impl ClientStream {
-    /// Returns whether the next bytes are to be held: a response is outstanding, and actix-http has been
-    /// given as many bytes of pipelined requests as it may.
+    /// Returns whether the next bytes are to be held, because a response is outstanding.
     fn reads_ahead(&self) -> bool {
         let connection = &self.connection;
-        let library_is_full = connection.stage_bytes.get() >= MAX_PIPELINED_IN_LIBRARY;
-        connection.stage.get() == Stage::InProgress
-            && library_is_full
-            && !connection.has_read_ahead_overflowed()
+        connection.stage.get() == Stage::InProgress && !connection.has_read_ahead_overflowed()
     }
 
     /// Drops bytes until the present response is sent. Requests that the connection be closed at once if the
@@ -157,9 +195,14 @@
     fn poll_read_socket(&mut self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let connection = self.connection.clone();
         // actix-http's buffer may have room for far more bytes than it is to be given.
-        let room = out.remaining().min(MAX_READ_PER_TURN - self.read_in_turn);
+        let Some(room) = self.reserve_read(out.remaining()) else {
+            self.read_in_turn = 0;
+            connection.reader.replace(Some(cx.waker().clone()));
+            return Poll::Pending;
+        };
         let mut part = ReadBuf::new(out.initialize_unfilled_to(room));
         let Poll::Ready(read) = self.poll_socket(cx, &mut part) else {
+            connection.memory.unread_head(if connection.is_reading_head() { room } else { 0 });
             self.read_in_turn = 0;
             if connection.closes_when_idle.get() && connection.is_idle() {
                 return Poll::Ready(Ok(()));
@@ -175,20 +218,19 @@
         }
         read?;
         out.advance(count);
-        self.record_read(count);
+        self.record_read(room, count);
         Poll::Ready(connection.check_head_size())
     }
 
-    /// Records that `count` bytes were read.
-    fn record_read(&mut self, count: usize) {
-        let (connection, now) = (&self.connection, Instant::now());
+    /// Records that `count` bytes were read of `room` bytes that were reserved.
+    fn record_read(&mut self, room: usize, count: usize) {
+        let (connection, now) = (self.connection.clone(), Instant::now());
         if count > 0 && connection.is_idle() {
             connection.enter(Stage::ReadingHead);
             connection.arrivals.borrow_mut().restart();
         }
         connection.arrivals.borrow_mut().arrived(now, count);
-        self.read_in_turn += count;
-        connection.stage_bytes.set(connection.stage_bytes.get() + count);
+        self.count_given(room, count);
         connection.last_read_at.set(now);
     }
 }
@@ -199,7 +241,7 @@
         cx: &mut Context<'_>,
         out: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.read_in_turn >= MAX_READ_PER_TURN {
+        if self.is_turn_over() {
             self.read_in_turn = 0;
             cx.waker().wake_by_ref();
             return Poll::Pending;
@@ -212,9 +254,18 @@
             self.poll_overflow(cx);
             return Poll::Pending;
         }
+        if !self.connection.wants_bytes(MAX_UNWANTED_BODY) {
+            self.read_in_turn = 0;
+            self.connection.reader.replace(Some(cx.waker().clone()));
+            return Poll::Pending;
+        }
         if !self.read_ahead.is_empty() {
-            self.take_read_ahead(out);
-            return Poll::Ready(self.connection.check_head_size());
+            if self.take_read_ahead(out) {
+                return Poll::Ready(self.connection.check_head_size());
+            }
+            self.read_in_turn = 0;
+            self.connection.reader.replace(Some(cx.waker().clone()));
+            return Poll::Pending;
         }
         self.poll_read_socket(cx, out)
     }
@@ -222,7 +273,9 @@
 
 impl AsyncWrite for ClientStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, bytes)
+        let written = ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, bytes))?;
+        self.connection.memory.response_written(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -5,6 +5,7 @@
 //! body. It reads up to 128 KiB of a head, and as much again of pipelined requests. Here each of these has
 //! a limit of its own.
 
+use super::memory::ConnectionMemory;
 use super::read_ahead::ArrivalTimes;
 use crate::net::upstream::request_body::ArrivedBytes;
 use crate::runtime::sockets::Uninterrupted;
@@ -39,8 +40,9 @@
 const FIRST_BYTE_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(100);
 /// How long a closing connection is read while the connection limit is reached.
 const CLOSING_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(200);
-/// The maximum time between two reads of an incomplete request while the connection limit is reached.
-const READ_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(700);
+/// The maximum time between two reads of an incomplete request while the connection limit is reached, or while
+/// others wait for memory.
+pub(super) const READ_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(700);
 /// How long a connection must have been idle to count as long idle during a drain: its next request is not
 /// expected at this instant.
 const LONG_IDLE: Duration = Duration::from_millis(250);
@@ -95,6 +97,12 @@
     pub(super) read_ahead_overflowed: Cell<bool>,
     /// The number of bytes of pipelined requests that are held outside actix-http.
     pub(super) read_ahead_bytes: Cell<usize>,
+    /// The bytes of a body that the library was given since its reader last took some.
+    body_given: Cell<usize>,
+    /// Whether the reader of a body waits for more bytes.
+    is_body_awaited: Cell<bool>,
+    /// The memory that the connection holds.
+    pub(super) memory: ConnectionMemory,
     /// When the bytes of the requests arrived.
     pub(super) arrivals: RefCell<ArrivalTimes>,
     socket: Weak<RefCell<Uninterrupted<TcpStream>>>,
@@ -102,7 +110,7 @@
 
 impl Connection {
     /// Creates the state of a connection that was just accepted.
-    pub(super) fn new(socket: Weak<RefCell<Uninterrupted<TcpStream>>>) -> Self {
+    pub(super) fn new(socket: Weak<RefCell<Uninterrupted<TcpStream>>>, memory: ConnectionMemory) -> Self {
         Connection {
             stage: Cell::new(Stage::New),
             stage_since: Cell::new(Instant::now()),
@@ -113,6 +121,9 @@
             closes_when_idle: Cell::new(false),
             read_ahead_overflowed: Cell::new(false),
             read_ahead_bytes: Cell::new(0),
+            body_given: Cell::new(0),
+            is_body_awaited: Cell::new(false),
+            memory,
             arrivals: RefCell::default(),
             socket,
         }
@@ -129,17 +140,52 @@
         self.wake_reader();
     }
 
-    fn wake_reader(&self) {
+    /// Wakes the task that waits to read from the connection.
+    pub(super) fn wake_reader(&self) {
         if let Some(reader) = self.reader.take() {
             reader.wake();
         }
     }
 
-    /// Records that a request's head is complete. Its body may still have to arrive.
-    pub fn head_complete(&self) {
+    /// Records that a request's head of `bytes` bytes and `fields` fields is complete. Its body may still have
+    /// to arrive.
+    pub fn head_complete(&self, bytes: u64, fields: usize) {
+        self.memory.head_complete(bytes, fields);
+        self.body_given.set(0);
+        self.is_body_awaited.set(false);
         self.enter(Stage::ReadingBody);
     }
 
+    /// Returns whether bytes that are read now belong to a head.
+    pub(super) fn is_reading_head(&self) -> bool {
+        matches!(self.stage.get(), Stage::New | Stage::Idle | Stage::ReadingHead)
+    }
+
+    /// Records that the library was given bytes of a body.
+    pub(super) fn body_given(&self, bytes: usize) {
+        self.body_given.set(self.body_given.get() + bytes);
+    }
+
+    /// Records that the reader of a body took bytes of it.
+    pub(super) fn body_taken(&self) {
+        self.body_given.set(0);
+        self.is_body_awaited.set(false);
+    }
+
+    /// Records that the reader of a body waits for more bytes.
+    pub(super) fn body_awaited(&self) {
+        if !self.is_body_awaited.replace(true) {
+            self.wake_reader();
+        }
+    }
+
+    /// Returns whether the library is to be given bytes: it holds no more than `max_unwanted` bytes of a body
+    /// for which nobody waits.
+    pub(super) fn wants_bytes(&self, max_unwanted: usize) -> bool {
+        let is_body = matches!(self.stage.get(), Stage::ReadingBody | Stage::StreamingBody);
+        !is_body || self.is_body_awaited.get() || self.body_given.get() < max_unwanted
+    }
+
     /// Records that the core has the request, and that its body is being streamed.
     pub fn body_streaming(&self) {
         self.enter(Stage::StreamingBody);
@@ -157,6 +203,7 @@
 
     /// Records that the request's response is being sent. Pipelined requests are read next.
     pub fn answered(&self) {
+        self.memory.request_ended();
         if self.stage.get() == Stage::Closing {
             return;
         }
@@ -255,8 +302,15 @@
     }
 
     /// Returns whether the present stage has timed out. Timeouts are shorter if the connection limit is
-    /// reached (`full`) and at a shutdown.
+    /// reached (`full`) and at a shutdown. A client whose bytes wait to be read is not late.
     pub(super) fn is_timed_out(&self, now: Instant, full: bool, shutting_down: bool) -> bool {
+        let waits_for_client =
+            matches!(self.stage.get(), Stage::New | Stage::ReadingHead | Stage::ReadingBody);
+        self.has_stage_timed_out(now, full, shutting_down)
+            && !(waits_for_client && !self.memory.is_starved() && self.unread_bytes() > 0)
+    }
+
+    fn has_stage_timed_out(&self, now: Instant, full: bool, shutting_down: bool) -> bool {
         let silent_for = now.saturating_duration_since(self.last_read_at.get());
         let timeout = match self.stage.get() {
             Stage::New if full => FIRST_BYTE_TIMEOUT_WHEN_FULL,
@@ -274,6 +328,21 @@
         now.saturating_duration_since(self.stage_since.get()) > timeout
     }
 
+    /// Returns how much the connection holds for a request that is not complete, weighted by how long it has
+    /// been incomplete. `None` if it has no such request, if bytes of the request wait to be read, or if bytes
+    /// came within the last `max_silence`.
+    pub(super) fn incomplete_request_weight(&self, now: Instant, max_silence: Duration) -> Option<u64> {
+        let is_incomplete =
+            matches!(self.stage.get(), Stage::ReadingHead | Stage::ReadingBody | Stage::StreamingBody);
+        let silent_for = now.saturating_duration_since(self.last_read_at.get());
+        let held = self.memory.request_bytes() as u64;
+        if !is_incomplete || held == 0 || silent_for < max_silence || self.unread_bytes() > 0 {
+            return None;
+        }
+        let age = now.saturating_duration_since(self.stage_since.get());
+        Some(held * age.as_millis() as u64)
+    }
+
     /// Returns how long the bytes of the body that have arrived may have taken since the head was complete.
     fn body_timeout(&self) -> Duration {
         BODY_SLACK + Duration::from_secs_f64(self.stage_bytes.get() as f64 / MIN_BODY_RATE)
--- a/src/net/downstream/connection_registry.rs
+++ b/src/net/downstream/connection_registry.rs
@@ -6,12 +6,14 @@
 //! request are closed.
 
 use super::client_stream::ClientStream;
-use super::connection::{Connection, DrainSchedule};
+use super::connection::{Connection, DrainSchedule, READ_TIMEOUT_WHEN_FULL};
+use super::memory::ConnectionMemory;
 use super::read_ahead::ReadAheadTotal;
 use crate::runtime::host::Host;
+use crate::runtime::memory::MemoryBudget;
 use crate::runtime::shutdown::Shutdown;
 use crate::runtime::sockets::Uninterrupted;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -21,6 +23,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The minimum interval between two warnings that the connection limit is reached.
 const LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// How long others wait for memory before a connection is closed whose client is still sending.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(1000);
 /// When connections close after an operator has drained the initiator. New clients stop arriving 0.3 s
 /// after the first `_health` response that says not ready, and at 4 s no connection may be idle or have had
 /// a request in the last 2 s.
@@ -55,10 +59,13 @@
 const IDLE_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(200);
 
 /// The connections of a front. Clones share the same connections.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ConnectionRegistry {
     connections: Rc<RefCell<Vec<Weak<Connection>>>>,
     read_ahead: ReadAheadTotal,
+    memory: MemoryBudget,
+    /// Since when others wait for memory without a break, or when a connection was last closed for that.
+    memory_awaited_since: Rc<Cell<Option<Instant>>>,
 }
 
 /// How many connections of a front are open, and how many may be.
@@ -81,10 +88,21 @@
 }
 
 impl ConnectionRegistry {
+    /// Creates a registry without connections, which take their memory from `memory`.
+    pub fn new(memory: MemoryBudget) -> Self {
+        ConnectionRegistry {
+            connections: Rc::default(),
+            read_ahead: ReadAheadTotal::default(),
+            memory,
+            memory_awaited_since: Rc::default(),
+        }
+    }
+
     /// Registers a connection that was just accepted, and returns the stream to serve it from.
     pub fn register(&self, socket: TcpStream) -> ClientStream {
         let socket = Rc::new(RefCell::new(Uninterrupted(socket)));
-        let connection = Rc::new(Connection::new(Rc::downgrade(&socket)));
+        let memory = ConnectionMemory::new(&self.memory);
+        let connection = Rc::new(Connection::new(Rc::downgrade(&socket), memory));
         self.connections.borrow_mut().push(Rc::downgrade(&connection));
         ClientStream::new(socket, connection, self.read_ahead.clone())
     }
@@ -141,11 +159,29 @@
         } else {
             close_idle(&connections, now, occupancy.idle_timeout())
         };
+        connections.iter().filter(|c| c.memory.is_starved()).for_each(|c| c.wake_reader());
+        self.free_memory(&connections, now);
         let shutting_down = shutdown.is_closing();
         let timed_out = connections.iter().filter(|c| c.is_timed_out(now, occupancy.full, shutting_down));
         closed + timed_out.map(|connection| connection.close_requested.notify_one()).count()
     }
 
+    /// While others wait for memory, closes the connection that has held most of it for longest for a request
+    /// that is still incomplete: one that has stopped sending at once, one that is still sending after a while.
+    fn free_memory(&self, connections: &[Rc<Connection>], now: Instant) {
+        if !self.memory.is_awaited() {
+            return self.memory_awaited_since.set(None);
+        }
+        let since = self.memory_awaited_since.get().unwrap_or(now);
+        self.memory_awaited_since.set(Some(since));
+        if let Some(stalled) = largest_incomplete(connections, now, READ_TIMEOUT_WHEN_FULL) {
+            stalled.close_requested.notify_one();
+        } else if now.saturating_duration_since(since) > MAX_MEMORY_WAIT {
+            largest_incomplete(connections, now, Duration::ZERO).inspect(|c| c.close_requested.notify_one());
+            self.memory_awaited_since.set(Some(now));
+        }
+    }
+
     fn live(&self) -> Vec<Rc<Connection>> {
         self.connections.borrow().iter().filter_map(Weak::upgrade).collect()
     }
@@ -158,6 +194,18 @@
     handed_over.or_else(|| host.drained_since().map(|since| (since, OPERATOR_DRAIN)))
 }
 
+/// Returns the connection that has held most memory for longest for an incomplete request, of those that have
+/// sent nothing for `max_silence`.
+fn largest_incomplete(
+    connections: &[Rc<Connection>],
+    now: Instant,
+    max_silence: Duration,
+) -> Option<&Rc<Connection>> {
+    let weighted =
+        connections.iter().filter_map(|c| Some((c.incomplete_request_weight(now, max_silence)?, c)));
+    weighted.max_by_key(|(weight, _)| *weight).map(|(_, connection)| connection)
+}
+
 /// Closes the connections that have been idle for longer than `timeout`, and returns how many.
 fn close_idle(connections: &[Rc<Connection>], now: Instant, timeout: Duration) -> usize {
     let mut closed = 0;
--- a/src/net/downstream/front.rs
+++ b/src/net/downstream/front.rs
@@ -21,24 +21,36 @@
 use crate::net::upstream::upstream_call::UpstreamCall;
 use crate::runtime::host::{Host, StreamingResponseGuard};
 use crate::runtime::listener::FrontListener;
+use crate::runtime::memory::MemoryBudget;
 use crate::runtime::shutdown::Shutdown;
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
+use actix_http::error::PayloadError;
 use actix_http::{
-    ConnectionType, Extensions, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
+    ConnectionType, Extensions, HttpMessage, HttpService, KeepAlive, Method, Payload, Request, Response,
+    StatusCode,
 };
 use actix_service::{fn_service, Service, ServiceFactory};
-use bytes::BytesMut;
-use futures_util::{stream, StreamExt};
+use bytes::{Bytes, BytesMut};
+use futures_util::{stream, Stream, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tracing::error;
 
 /// How long a client has to read the last response of a connection to its end.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long a request whose body has arrived waits for the memory to read it before it is refused.
+const MEMORY_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a request waits for that memory whose body is still being sent.
+const MEMORY_TIMEOUT_WHILE_SENDING: Duration = Duration::from_millis(2400);
+/// How often it is checked whether a body has arrived that waits for memory.
+const BODY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What the front needs in order to serve.
 pub struct Front {
     /// The core.
@@ -47,6 +59,8 @@
     pub endpoint_clients: Rc<EndpointClients>,
     /// The maximum number of client connections at a time.
     pub max_connections: usize,
+    /// The memory that clients may make the process hold.
+    pub memory: MemoryBudget,
     /// The ids of recent requests.
     pub request_ids: Rc<RefCell<RequestIds>>,
     /// Called once at a shutdown. Hands over to the successor and returns `true` if there is one, which
@@ -56,7 +70,7 @@
 
 /// Serves clients until `stop` completes, and then until all accepted requests are answered.
 pub async fn serve(front: Front, listener: TcpListener, stop: impl std::future::Future<Output = ()>) {
-    let Front { host, endpoint_clients, max_connections, request_ids, hand_over } = front;
+    let Front { host, endpoint_clients, max_connections, memory, request_ids, hand_over } = front;
     let shutdown = Shutdown::default();
     let core = host.clone();
     let listener = FrontListener {
@@ -66,7 +80,7 @@
         shutdown: shutdown.clone(),
         hand_over,
     };
-    let service = Rc::new(RequestService { host, endpoint_clients, request_ids });
+    let service = Rc::new(RequestService { host, endpoint_clients, request_ids, memory: memory.clone() });
     let closing = shutdown.clone();
     let handler = fn_service(move |request: Request| {
         let (service, closing) = (service.clone(), closing.clone());
@@ -96,7 +110,7 @@
         .h1_allow_half_closed(false)
         .h1(handler);
     let Ok(http) = http.new_service(()).await else { return error!("the HTTP service could not be set up") };
-    let registry = ConnectionRegistry::default();
+    let registry = ConnectionRegistry::new(memory);
     let timeouts = actix_rt::spawn(registry.clone().close_timed_out(core, max_connections, shutdown));
     // The result of a client's connection is not needed: if the connection is lost, its request is dropped,
     // and the core is told.
@@ -120,6 +134,7 @@
     host: Host,
     endpoint_clients: Rc<EndpointClients>,
     request_ids: Rc<RefCell<RequestIds>>,
+    memory: MemoryBudget,
 }
 
 /// Tells a connection on drop that its request has been answered, or that the client has left.
@@ -136,7 +151,7 @@
     async fn handle(&self, mut request: Request) -> Response<BoxBody> {
         let connection = request.conn_data::<Rc<Connection>>().cloned();
         let connection = AnsweredOnDrop(connection.expect("every connection has its state"));
-        connection.0.head_complete();
+        connection.0.head_complete(head_bytes(&request), request.headers().len());
         if request.path() == "/_health" {
             connection.0.request_arrived(head_bytes(&request));
             let ready = self.host.is_ready();
@@ -186,6 +201,7 @@
             trace_id: head.trace_id,
             idempotency_key: head.idempotency_key,
             body,
+            memory: self.memory.clone(),
             streamed_response: streamed_response.clone(),
         };
         let answer = self.host.submit(head.request, Rc::new(call)).await;
@@ -213,7 +229,10 @@
                 Some(streamed) => {
                     stream_response(streamed, (connection, self.host.track_streaming_response()))
                 }
-                None => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
+                None => {
+                    connection.0.memory.response_ready(body.len());
+                    Response::build(StatusCode::OK).body(body).map_into_boxed_body()
+                }
             },
             Answer::Rejected(Rejection { retry_after, .. }) => {
                 let mut rejected = Response::build(StatusCode::SERVICE_UNAVAILABLE);
@@ -263,6 +282,52 @@
     Response::build(status).force_close().body(()).map_into_boxed_body()
 }
 
+/// A request's body, which tells its connection when more bytes of it are wanted.
+struct TrackedPayload {
+    payload: Payload,
+    connection: Rc<Connection>,
+}
+
+impl Stream for TrackedPayload {
+    type Item = Result<Bytes, PayloadError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let next = self.payload.poll_next_unpin(cx);
+        match next {
+            Poll::Pending => self.connection.body_awaited(),
+            Poll::Ready(_) => self.connection.body_taken(),
+        }
+        next
+    }
+}
+
+/// Waits for the memory of a body. A client's time counts from the last byte that it sent, so a body that has
+/// arrived does not wait for long.
+///
+/// # Errors
+/// The status to respond with, if no memory was left in time. Nothing of the body was read.
+async fn reserve_body(connection: &Connection, content_length: Option<u64>) -> Result<(), StatusCode> {
+    let length = content_length.map(|length| length as usize);
+    let mut reserved = std::pin::pin!(connection.memory.reserve_body(length, MAX_BUFFERED_BODY));
+    let started_at = Instant::now();
+    let mut arrived_at: Option<Instant> = None;
+    while tokio::time::timeout(BODY_CHECK_INTERVAL, &mut reserved).await.is_err() {
+        if content_length.is_none_or(|length| connection.arrived_bytes().total >= length) {
+            arrived_at.get_or_insert_with(Instant::now);
+        }
+        let has_timed_out = arrived_at.is_some_and(|at| at.elapsed() > MEMORY_TIMEOUT);
+        if has_timed_out || started_at.elapsed() > MEMORY_TIMEOUT_WHILE_SENDING {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+    }
+    Ok(())
+}
+
+/// Returns the capacity of the buffer for a body that is buffered whole; 0: it is not, or its length is unknown.
+fn buffered_length(content_length: Option<u64>) -> usize {
+    content_length.filter(|length| *length <= MAX_BUFFERED_BODY as u64).unwrap_or(0) as usize
+}
+
 /// Reads a request's body: the whole body, or the beginning of a large one, which is streamed.
 ///
 /// # Errors
@@ -273,8 +338,12 @@
     if content_length.is_some_and(|length| length > MAX_STREAMED_BODY) {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
+    let has_body = request.head().chunked() || content_length.is_some_and(|length| length > 0);
+    if has_body {
+        reserve_body(connection, content_length).await?;
+    }
+    let mut payload = TrackedPayload { payload: request.take_payload(), connection: connection.clone() };
+    let mut body = BytesMut::with_capacity(buffered_length(content_length));
     while content_length.is_none_or(|length| length <= MAX_BUFFERED_BODY as u64)
         && body.len() <= MAX_BUFFERED_BODY
     {
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -7,12 +7,13 @@
 //! The HTTP library, actix-http, has no timeouts for bodies, or for the heads of later requests on a
 //! connection. These modules limit connections instead: [`connection`] is the state of one connection,
 //! [`connection_registry`] closes connections that have timed out, [`client_stream`] is the stream that the
-//! library reads from, and [`read_ahead`] holds pipelined requests.
+//! library reads from, [`read_ahead`] holds pipelined requests, and `memory` counts what a connection holds.
 
 pub mod client_stream;
 pub mod connection;
 pub mod connection_registry;
 pub mod front;
+mod memory;
 pub mod read_ahead;
-pub mod request_head;
+mod request_head;
 pub mod request_ids;
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -10,6 +10,7 @@
 use super::response_head::outcome_of_read_error;
 use crate::broker::AttemptResult;
 use crate::outcome::TransportOutcome;
+use crate::runtime::memory::MemoryAccount;
 use actix_http::header::HeaderMap;
 use actix_http::{Method, StatusCode};
 use awc::error::PayloadError;
@@ -29,6 +30,11 @@
 /// sends after the response have arrived by then, and are noticed.
 const SETTLE_TIME: Duration = Duration::from_millis(2);
 
+/// What a byte of a buffered body takes: its buffer grows by doubling.
+const BYTES_PER_BUFFERED_BYTE: usize = 2;
+/// What a body takes at most that is streamed, or whose length is unknown.
+const STREAMED_BODY_BYTES: usize = 96 << 10;
+
 /// Returns the value of a header without surrounding whitespace, or `None` if it is missing or not visible
 /// ASCII. If the header is repeated, the first value is returned.
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -46,9 +52,22 @@
     body: BytesMut,
     started_at: Instant,
     permit: Option<OwnedSemaphorePermit>,
+    memory: MemoryAccount,
     response: ClientResponse<S>,
 }
 
+/// A buffered body, and the memory that is reserved for it.
+struct ReservedBody {
+    bytes: BytesMut,
+    _memory: MemoryAccount,
+}
+
+impl AsRef<[u8]> for ReservedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// The result of buffering a body.
 enum Buffering {
     /// The stated number of bytes has been received.
@@ -65,7 +84,12 @@
 {
     /// Evaluates the head of the response to a request with `method`. `permit` is the permit of the
     /// connection.
-    pub fn new(response: ClientResponse<S>, method: &Method, permit: Option<OwnedSemaphorePermit>) -> Self {
+    pub fn new(
+        response: ClientResponse<S>,
+        method: &Method,
+        permit: Option<OwnedSemaphorePermit>,
+        memory: MemoryAccount,
+    ) -> Self {
         let headers = response.headers();
         let content_length = content_length(headers, method);
         ResponseReader {
@@ -76,6 +100,7 @@
             body: BytesMut::new(),
             started_at: Instant::now(),
             permit,
+            memory,
             response,
         }
     }
@@ -85,22 +110,42 @@
         if self.content_length.is_some_and(|length| length > MAX_STREAMED_BODY) {
             return AttemptResult::without_response(TransportOutcome::UnboundedResponse);
         }
+        self.memory.reserve(self.bytes_to_reserve()).await;
         match self.buffer().await {
             Ok(Buffering::ContentLengthReached) => {
-                let body = std::mem::take(&mut self.body);
-                let result = self.result(body.freeze());
+                let body = self.take_body();
+                let result = self.result(body);
                 self.release_connection();
                 result
             }
             Ok(Buffering::EndReached) => {
-                let body = std::mem::take(&mut self.body);
-                self.result(body.freeze())
+                let body = self.take_body();
+                self.result(body)
             }
             Ok(Buffering::NotBuffered) => self.stream_into(slot),
             Err(outcome) => AttemptResult::without_response(outcome),
         }
     }
 
+    /// Returns the memory that the body takes at most in this process.
+    fn bytes_to_reserve(&self) -> usize {
+        match self.content_length {
+            Some(length) if length <= MAX_BUFFERED_BODY as u64 => length as usize * BYTES_PER_BUFFERED_BYTE,
+            _ => STREAMED_BODY_BYTES,
+        }
+    }
+
+    /// Returns the buffered body, whose memory stays reserved until it is dropped.
+    fn take_body(&mut self) -> Bytes {
+        let bytes = std::mem::take(&mut self.body);
+        if bytes.is_empty() {
+            return Bytes::new();
+        }
+        let rest = self.memory.sibling();
+        let memory = std::mem::replace(&mut self.memory, rest);
+        Bytes::from_owner(ReservedBody { bytes, _memory: memory })
+    }
+
     /// Buffers the body as far as that is allowed.
     ///
     /// # Errors
@@ -166,7 +211,8 @@
         }
         let result = self.result(Bytes::new());
         let body = self.response.boxed_local();
-        let streamed = StreamedResponse::new(self.content_length, self.body.freeze(), body, self.permit);
+        let buffered = self.body.freeze();
+        let streamed = StreamedResponse::new(self.content_length, buffered, body, self.permit, self.memory);
         slot.replace(Some(streamed));
         result
     }
--- a/src/net/upstream/response_body.rs
+++ b/src/net/upstream/response_body.rs
@@ -1,6 +1,7 @@
 //! Streams a large response to the client as the endpoint sends it.
 
 use super::limits::{MAX_STREAMED_BODY, STREAM_IDLE_TIMEOUT};
+use crate::runtime::memory::MemoryAccount;
 use awc::error::PayloadError;
 use bytes::Bytes;
 use futures_util::stream::LocalBoxStream;
@@ -20,16 +21,18 @@
     bytes_received: u64,
     body: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
     _permit: Option<OwnedSemaphorePermit>,
+    _memory: MemoryAccount,
 }
 
 impl StreamedResponse {
-    /// Returns a body that begins with `buffered` and continues with `body`. The connection's permit is held
-    /// until the body is dropped.
+    /// Returns a body that begins with `buffered` and continues with `body`. The connection's permit and
+    /// the reserved memory are held until the body is dropped.
     pub fn new(
         content_length: Option<u64>,
         buffered: Bytes,
         body: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
         permit: Option<OwnedSemaphorePermit>,
+        memory: MemoryAccount,
     ) -> Self {
         StreamedResponse {
             content_length,
@@ -37,6 +40,7 @@
             bytes_received: 0,
             body,
             _permit: permit,
+            _memory: memory,
         }
     }
 
--- a/src/net/upstream/upstream_call.rs
+++ b/src/net/upstream/upstream_call.rs
@@ -11,6 +11,7 @@
 use crate::broker::{AttemptProgress, AttemptResult};
 use crate::outcome::TransportOutcome;
 use crate::runtime::host::{ProgressCallback, UpstreamRequest};
+use crate::runtime::memory::MemoryBudget;
 use crate::runtime::sockets::connect_outcome;
 use actix_http::body::{BodyStream, SizedStream};
 use actix_http::error::ParseError;
@@ -42,6 +43,8 @@
     pub target: String,
     /// The value of `X-Trace-Id`, as received from the client.
     pub trace_id: String,
+    /// The memory that responses are counted against.
+    pub memory: MemoryBudget,
     /// The value of `Idempotency-Key`, as received from the client.
     pub idempotency_key: Option<HeaderValue>,
     /// The body.
@@ -118,7 +121,8 @@
         let response = with_upload_stall_timeout(self.send(), upload.as_deref());
         let result = match self.watch_client_during(response, upload.as_deref()).await {
             Ok(response) => {
-                let reader = ResponseReader::new(response, &self.call.method, permit);
+                let memory = self.call.memory.open_account();
+                let reader = ResponseReader::new(response, &self.call.method, permit, memory);
                 reader.read(&self.call.streamed_response).await
             }
             Err(error) => AttemptResult::without_response(outcome_of_send_error(&error, upload.as_deref())),
--- /dev/null
+++ b/src/runtime/memory.rs
@@ -0,0 +1,164 @@
+//! The memory that clients make the process hold. All of it is reserved in one budget before it is taken, so
+//! that no number and no behaviour of clients exceeds what the process is granted.
+//!
+//! Small reservations, those of a connection, of a request's head and of a small body, may use the whole budget.
+//! Large ones leave a quarter of it to the small ones, so that large requests do not keep out small ones.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// The part of the budget that large reservations may use, in quarters.
+const BULK_QUARTERS: usize = 3;
+/// The largest reservation that counts as small, in bytes.
+const MAX_SMALL_BYTES: usize = 16 << 10;
+/// For how long after a small reservation failed the budget counts as awaited.
+const RECENTLY: Duration = Duration::from_millis(100);
+
+/// A budget that all clients share. Clones share the same budget.
+#[derive(Clone, Debug)]
+pub struct MemoryBudget(Arc<Budget>);
+
+#[derive(Debug)]
+struct Budget {
+    /// The budget in bytes.
+    limit: usize,
+    reserved: AtomicUsize,
+    /// The number of reservations that wait.
+    waiting: AtomicUsize,
+    /// When a small reservation failed last.
+    refused_at: Mutex<Option<Instant>>,
+    /// Notified when bytes are released.
+    released: Notify,
+}
+
+impl MemoryBudget {
+    /// Creates a budget of `limit` bytes.
+    pub fn new(limit: usize) -> Self {
+        MemoryBudget(Arc::new(Budget {
+            limit,
+            reserved: AtomicUsize::new(0),
+            waiting: AtomicUsize::new(0),
+            refused_at: Mutex::new(None),
+            released: Notify::new(),
+        }))
+    }
+
+    /// Opens an account without reservations.
+    pub fn open_account(&self) -> MemoryAccount {
+        MemoryAccount { budget: self.clone(), reserved: AtomicUsize::new(0) }
+    }
+
+    /// Returns whether somebody waits for memory.
+    pub fn is_awaited(&self) -> bool {
+        let refused_at = *self.0.refused_at.lock().unwrap_or_else(PoisonError::into_inner);
+        self.0.waiting.load(Ordering::Relaxed) > 0 || refused_at.is_some_and(|at| at.elapsed() < RECENTLY)
+    }
+
+    fn bulk_limit(&self) -> usize {
+        self.0.limit / 4 * BULK_QUARTERS
+    }
+
+    /// Reserves bytes if no more than `limit` are reserved then.
+    fn try_reserve(&self, bytes: usize, limit: usize) -> bool {
+        let add = |reserved: usize| reserved.checked_add(bytes).filter(|total| *total <= limit);
+        self.0.reserved.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok()
+    }
+
+    fn release(&self, bytes: usize) {
+        self.0.reserved.fetch_sub(bytes, Ordering::Relaxed);
+        self.0.released.notify_waiters();
+    }
+}
+
+/// What one holder has reserved. It is released when the account is dropped.
+#[derive(Debug)]
+pub struct MemoryAccount {
+    budget: MemoryBudget,
+    reserved: AtomicUsize,
+}
+
+impl MemoryAccount {
+    /// Opens another account of the same budget.
+    pub fn sibling(&self) -> Self {
+        self.budget.open_account()
+    }
+
+    /// Returns the number of bytes that are reserved.
+    pub fn reserved(&self) -> usize {
+        self.reserved.load(Ordering::Relaxed)
+    }
+
+    /// Makes a small reservation. Returns `false`, and reserves nothing, if the budget is spent.
+    pub fn try_reserve_small(&self, bytes: usize) -> bool {
+        let is_reserved = self.budget.try_reserve(bytes, self.budget.0.limit);
+        if is_reserved {
+            self.reserved.fetch_add(bytes, Ordering::Relaxed);
+        } else {
+            let refused_at = &self.budget.0.refused_at;
+            *refused_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+        }
+        is_reserved
+    }
+
+    /// Makes a reservation of any size, as soon as the budget has room for it. One that exceeds the whole budget
+    /// waits until nothing else is reserved.
+    pub async fn reserve(&self, bytes: usize) {
+        let limit = match bytes {
+            0..=MAX_SMALL_BYTES => self.budget.0.limit,
+            _ => self.budget.bulk_limit().max(bytes),
+        };
+        let _waiting = Waiting::new(&self.budget.0.waiting);
+        loop {
+            let released = self.budget.0.released.notified();
+            if self.budget.try_reserve(bytes, limit) {
+                self.reserved.fetch_add(bytes, Ordering::Relaxed);
+                return;
+            }
+            released.await;
+        }
+    }
+
+    /// Reserves bytes that are held already, whether the budget has room for them or not.
+    pub fn reserve_held(&self, bytes: usize) {
+        self.budget.0.reserved.fetch_add(bytes, Ordering::Relaxed);
+        self.reserved.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Releases bytes, at most as many as are reserved.
+    pub fn release(&self, bytes: usize) {
+        let bytes = bytes.min(self.reserved());
+        if bytes > 0 {
+            self.reserved.fetch_sub(bytes, Ordering::Relaxed);
+            self.budget.release(bytes);
+        }
+    }
+
+    /// Releases everything.
+    pub fn release_all(&self) {
+        self.release(usize::MAX);
+    }
+}
+
+impl Drop for MemoryAccount {
+    fn drop(&mut self) {
+        self.release_all();
+    }
+}
+
+/// Counts one reservation as waiting until it is dropped.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Waiting(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -8,5 +8,6 @@
 pub mod json_stream;
 pub mod listener;
 pub mod log;
+pub mod memory;
 pub mod shutdown;
 pub mod sockets;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod captured_log;
 pub mod faults;
+pub mod flood;
 pub mod net;
 pub mod platform;
 pub mod process;
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -550,6 +550,7 @@
         host: core.clone(),
         endpoint_clients,
         max_connections: 16,
+        memory: shaletack::runtime::memory::MemoryBudget::new(usize::MAX),
         request_ids: Rc::default(),
         hand_over: Rc::new(|| false),
     };
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -260,6 +260,7 @@
         trace_id: "1".into(),
         idempotency_key: None,
         body: RequestBody::None,
+        memory: shaletack::runtime::memory::MemoryBudget::new(usize::MAX),
         streamed_response: Rc::default(),
     }
 }
