Bound the states of volumes and ids of requests under ever new names

Reproduced (release build, 32 MB, 8 s): one connection 29896 KiB at the peak and 21024 answers, four 31060 KiB and 22976. Unsound requests (180000 in 8 s) show neither growth nor late answers here.

Cause: a volume's state (1.1 kB) is kept for 60 s, however many there are, and each request walked all volumes for the least virtual time of those that wait. Ids were held as two strings for two deadlines.

Change: Settings::max_volumes, an eighth of memory_mb; the oldest idle volumes without a limit make room, else a request of a new volume is refused. Waiting volumes have an index. Memory reservations above 24 KiB leave a quarter of the budget to small ones (found by the mixed flood: a starved sound client, closed once).

--- a/crates/core/src/interface/settings.rs
+++ b/crates/core/src/interface/settings.rs
@@ -168,6 +168,9 @@
     /// The maximum number of open requests at this initiator, since clients have no connections for more; 0:
     /// not stated.
     pub max_open_requests: usize,
+    /// The maximum number of volumes whose state is held at a time; 0: unlimited. A request of a further volume is
+    /// rejected unless the state of another one can be dropped.
+    pub max_volumes: usize,
     /// The names of the figures in load reports, in their order.
     pub load_report_fields: Vec<String>,
     /// The period over which the meter sums up usage; 0: no meter.
--- a/crates/core/src/scheduler/arrivals.rs
+++ b/crates/core/src/scheduler/arrivals.rs
@@ -20,11 +20,17 @@
         let request = Request { units, ..request.clone() };
         let (id, key) = (request.id, request.key);
         self.retry_budget.record_request(self.now, &self.settings.rules);
-        self.record_demand(&request);
+        let has_room = self.volumes.make_room_for(request.volume, self.settings.max_volumes);
+        if has_room {
+            self.record_demand(&request);
+        }
         self.slow_start.record_request(request.shard, self.now);
         let is_ordered = self.settings.class(request.class).ordered && key != 0;
         let pending = self.pending_request(request);
         self.requests.insert(id, pending);
+        if !has_room {
+            return self.reject_or_fail(id);
+        }
         self.schedule_answer(id);
         if !is_ordered || self.key_order.push(key, id, self.now) {
             self.enqueue(id);
@@ -53,9 +59,7 @@
         pending.phase = Phase::Queued;
         let entry = QueueEntry { objective_at: pending.objective_at, request: id };
         self.queues.insert(pending.request.shard, pending.queue_key(), entry);
-        if let Some(volume) = self.volumes.get_mut(pending.request.volume) {
-            volume.queued += 1;
-        }
+        self.volumes.request_queued(pending.request.volume);
     }
 
     /// Takes a request off its queue, because it is sent or closed.
@@ -64,9 +68,7 @@
         pending.phase = Phase::NotQueued;
         let entry = QueueEntry { objective_at: pending.objective_at, request: id };
         self.queues.remove(pending.request.shard, pending.queue_key(), entry);
-        if let Some(volume) = self.volumes.get_mut(pending.request.volume) {
-            volume.queued -= 1;
-        }
+        self.volumes.request_dequeued(pending.request.volume);
     }
 
     /// Sets the time by which a request needs its final answer. The answer is due at once if nothing of the
--- a/crates/core/src/scheduler/volumes.rs
+++ b/crates/core/src/scheduler/volumes.rs
@@ -7,13 +7,15 @@
 use crate::interface::{Plan, Request, Settings, VolumeId};
 use crate::measure::TokenBucket;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A volume without requests for this long is dropped; its buckets are full by then.
 const IDLE_TIMEOUT: Duration = SECOND.saturating_mul(60);
 /// How often lagging virtual times are raised. Equal to the span over which results are counted.
 const RAISE_INTERVAL: Duration = SECOND;
+/// When too many volumes are held, one of this many is dropped, of those that were idle for longest.
+const DROPPED_DIVISOR: usize = 8;
 /// Minimum of a plan's weight, by which units are divided.
 const MIN_WEIGHT: f64 = 1e-6;
 
@@ -96,6 +98,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Volumes {
     by_id: BTreeMap<VolumeId, Volume>,
+    /// The volumes with queued requests.
+    waiting: BTreeSet<VolumeId>,
     /// When virtual times were last raised.
     raised_at: Duration,
 }
@@ -103,7 +107,7 @@
 impl Volumes {
     /// Creates the table without volumes.
     pub(super) fn new(now: Duration) -> Self {
-        Volumes { by_id: BTreeMap::new(), raised_at: now }
+        Volumes { by_id: BTreeMap::new(), waiting: BTreeSet::new(), raised_at: now }
     }
 
     pub(super) fn get(&self, id: VolumeId) -> Option<&Volume> {
@@ -126,6 +130,42 @@
         self.by_id.extend(volumes);
     }
 
+    /// Counts one more queued request of a volume.
+    pub(super) fn request_queued(&mut self, id: VolumeId) {
+        if let Some(volume) = self.by_id.get_mut(&id) {
+            volume.queued += 1;
+            self.waiting.insert(id);
+        }
+    }
+
+    /// Counts one queued request of a volume less.
+    pub(super) fn request_dequeued(&mut self, id: VolumeId) {
+        let Some(volume) = self.by_id.get_mut(&id) else { return };
+        volume.queued -= 1;
+        if volume.queued == 0 {
+            self.waiting.remove(&id);
+        }
+    }
+
+    /// Makes room for the state of a volume where `max` volumes are held already; 0: unlimited. Drops idle
+    /// volumes without a limit, whose state decides about fairness only. Returns `false` if there are none.
+    pub(super) fn make_room_for(&mut self, id: VolumeId, max: usize) -> bool {
+        if max == 0 || self.by_id.len() < max || self.by_id.contains_key(&id) {
+            return true;
+        }
+        let is_droppable = |volume: &Volume| volume.queued == 0 && volume.plan.limit <= 0.0;
+        let droppable = self.by_id.values().filter(|volume| is_droppable(volume));
+        let mut last_used: Vec<Duration> = droppable.map(|volume| volume.usage.demand.updated_at).collect();
+        if last_used.is_empty() {
+            return false;
+        }
+        // Many are dropped at a time, so that not every request of a new volume walks all of them.
+        let dropped = (last_used.len() - 1).min(max / DROPPED_DIVISOR);
+        let (_, &mut threshold, _) = last_used.select_nth_unstable(dropped);
+        self.by_id.retain(|_, volume| !is_droppable(volume) || volume.usage.demand.updated_at > threshold);
+        true
+    }
+
     /// Scales the tokens that the buckets of all limits hold.
     pub(super) fn scale_tokens(&mut self, factor: f64) {
         self.by_id.values_mut().for_each(|volume| volume.limit.scale_tokens(factor));
@@ -140,7 +180,7 @@
         now: Duration,
     ) {
         let plan = settings.plans.get(request.plan as usize).cloned().unwrap_or_default();
-        let waiting = self.by_id.values().filter(|volume| volume.queued > 0);
+        let waiting = self.waiting.iter().filter_map(|id| self.by_id.get(id));
         let least_waiting = waiting.map(|volume| volume.virtual_time).fold(f64::INFINITY, f64::min);
         let volume = self.by_id.entry(request.volume).or_insert_with(|| Volume {
             limit: VolumeLimit::new(now, started_at),
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -78,6 +78,7 @@
         keep_alive_timeout: limits.field("keepalive").duration()?,
         connect_timeout: limits.field("connect-timeout").duration()?,
         max_open_requests: limits.field("open-requests").integer()? as usize,
+        max_volumes: 0,
         load_report_fields: top.field("report").field("fields").texts()?,
         meter_period: domain.field("meter-period").duration()?,
         mean_request_units: domain.field("unit-mean").number()?,
--- a/src/app/serve_platform.rs
+++ b/src/app/serve_platform.rs
@@ -141,7 +141,7 @@
         let identity =
             identity.unwrap_or(Identity { name: config.name.clone(), listen_address: config.listen });
         let link = HandoverLink::new(host.clone(), identity, &std::env::temp_dir());
-        let request_ids = Rc::new(RefCell::new(RequestIds::default()));
+        let request_ids = Rc::new(RefCell::new(RequestIds::new(config.max_request_ids)));
         if let Some(received) = predecessor {
             restore(&host, &link, &request_ids, received);
         }
@@ -227,7 +227,8 @@
     }
     let total = max_memory_mib.saturating_sub(BASE_MEMORY_MIB) << 20;
     let endpoints = endpoint_connections as u64 * ENDPOINT_CONNECTION_BYTES;
-    total.saturating_sub(endpoints).max(MIN_CONNECTIONS * CONNECTION_BYTES) as usize
+    let others = endpoints + config::state_memory(max_memory_mib);
+    total.saturating_sub(others).max(MIN_CONNECTIONS * CONNECTION_BYTES) as usize
 }
 
 async fn serve_management(
--- a/src/config.rs
+++ b/src/config.rs
@@ -25,6 +25,8 @@
     pub max_descriptors: usize,
     /// The most memory that the process may hold, in MiB; 0: not stated.
     pub max_memory_mib: u64,
+    /// The most ids of recent requests that are held; 0: not limited.
+    pub max_request_ids: usize,
     /// The last endpoint list known when the file was written, of any age.
     pub cached_endpoints: EndpointList,
     /// Why entries of that list were skipped, one error text for each.
@@ -47,6 +49,27 @@
 /// connection.
 const OPEN_REQUEST_FRACTION: f64 = 0.8;
 
+/// The states of volumes may take one of this many parts of the memory.
+const VOLUME_MEMORY_DIVISOR: u64 = 8;
+/// What the state of a volume takes, in bytes.
+const BYTES_PER_VOLUME: u64 = 1200;
+/// The ids of recent requests may take one of this many parts of the memory.
+const REQUEST_ID_MEMORY_DIVISOR: u64 = 16;
+/// What the id of a request takes, in bytes.
+const BYTES_PER_REQUEST_ID: u64 = 128;
+
+/// Returns how many states of `bytes` bytes fit into one of `divisor` parts of the memory; 0: memory is not
+/// limited.
+fn state_limit(max_memory_mib: u64, divisor: u64, bytes: u64) -> usize {
+    ((max_memory_mib << 20) / divisor / bytes) as usize
+}
+
+/// Returns the memory that the states of volumes and the ids of requests may take, in bytes.
+pub fn state_memory(max_memory_mib: u64) -> u64 {
+    let total = max_memory_mib << 20;
+    total / VOLUME_MEMORY_DIVISOR + total / REQUEST_ID_MEMORY_DIVISOR
+}
+
 /// Why a configuration can't be used.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -120,6 +143,8 @@
         endpoint_list::read_list(top.field("known"))?;
     cached_endpoints.kind = EndpointListKind::Cached;
     let max_descriptors = read_max_descriptors(top.field("limits"))?;
+    let max_memory_mib = top.field("limits").field("memory_mb").integer()?;
+    settings.max_volumes = state_limit(max_memory_mib, VOLUME_MEMORY_DIVISOR, BYTES_PER_VOLUME);
     if settings.max_open_requests == 0 {
         let client_connections = max_descriptors as f64 * CLIENT_DESCRIPTOR_FRACTION;
         settings.max_open_requests = (client_connections * OPEN_REQUEST_FRACTION) as usize;
@@ -134,7 +159,8 @@
             from_env => Some(read_address(top, "management", from_env)?),
         },
         seed: u64::from_str_radix(seed, 16).map_err(|_| ConfigError::BadSeed(seed.to_owned()))?,
-        max_memory_mib: top.field("limits").field("memory_mb").integer()?,
+        max_memory_mib,
+        max_request_ids: state_limit(max_memory_mib, REQUEST_ID_MEMORY_DIVISOR, BYTES_PER_REQUEST_ID),
         max_descriptors,
         cached_endpoints,
         skipped_entries: entry_errors.iter().map(EntryError::to_string).collect(),
--- a/src/net/downstream/client_stream.rs
+++ b/src/net/downstream/client_stream.rs
@@ -137,9 +137,18 @@
             return Some(wanted.min(MAX_READ_PER_TURN - self.read_in_turn));
         }
         let room = wanted.min(HEAD_BYTES_PER_TURN - self.read_in_turn.min(HEAD_BYTES_PER_TURN));
+        let room = room.min(self.waiting_bytes().max(1));
         self.connection.memory.reserve_head(room).then_some(room)
     }
 
+    /// Returns how many bytes wait to be given to actix-http.
+    fn waiting_bytes(&self) -> usize {
+        match self.read_ahead.len() {
+            0 => self.connection.unread_bytes() as usize,
+            held => held,
+        }
+    }
+
     /// Counts `count` bytes that actix-http was given of `room` bytes that were reserved.
     fn count_given(&mut self, room: usize, count: usize) {
         let connection = &self.connection;
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -7,6 +7,7 @@
 
 use super::memory::ConnectionMemory;
 use super::read_ahead::ArrivalTimes;
+use super::request_ids::ConnectionNumber;
 use crate::net::upstream::request_body::ArrivedBytes;
 use crate::runtime::sockets::Uninterrupted;
 use futures_util::FutureExt;
@@ -81,6 +82,8 @@
 /// One client's connection.
 #[derive(Debug)]
 pub struct Connection {
+    /// A number that no other connection of the process has.
+    pub(super) number: ConnectionNumber,
     pub(super) stage: Cell<Stage>,
     stage_since: Cell<Instant>,
     /// The number of bytes read in the present stage: of a head, of a body, or of pipelined requests.
@@ -110,8 +113,13 @@
 
 impl Connection {
     /// Creates the state of a connection that was just accepted.
-    pub(super) fn new(socket: Weak<RefCell<Uninterrupted<TcpStream>>>, memory: ConnectionMemory) -> Self {
+    pub(super) fn new(
+        number: ConnectionNumber,
+        socket: Weak<RefCell<Uninterrupted<TcpStream>>>,
+        memory: ConnectionMemory,
+    ) -> Self {
         Connection {
+            number,
             stage: Cell::new(Stage::New),
             stage_since: Cell::new(Instant::now()),
             stage_bytes: Cell::new(0),
@@ -224,7 +232,7 @@
     }
 
     /// Returns how many bytes can be read from the socket, or 1 if their number is not available.
-    fn unread_bytes(&self) -> u64 {
+    pub(super) fn unread_bytes(&self) -> u64 {
         let Some(socket) = self.socket.upgrade() else { return 0 };
         let socket = socket.borrow();
         ioctl_fionread(&socket.0).unwrap_or_else(|_| {
--- a/src/net/downstream/connection_registry.rs
+++ b/src/net/downstream/connection_registry.rs
@@ -9,6 +9,7 @@
 use super::connection::{Connection, DrainSchedule, READ_TIMEOUT_WHEN_FULL};
 use super::memory::ConnectionMemory;
 use super::read_ahead::ReadAheadTotal;
+use super::request_ids::ConnectionNumber;
 use crate::runtime::host::Host;
 use crate::runtime::memory::MemoryBudget;
 use crate::runtime::shutdown::Shutdown;
@@ -64,6 +65,7 @@
     connections: Rc<RefCell<Vec<Weak<Connection>>>>,
     read_ahead: ReadAheadTotal,
     memory: MemoryBudget,
+    last_number: Rc<Cell<ConnectionNumber>>,
     /// Since when others wait for memory without a break, or when a connection was last closed for that.
     memory_awaited_since: Rc<Cell<Option<Instant>>>,
 }
@@ -94,6 +96,7 @@
             connections: Rc::default(),
             read_ahead: ReadAheadTotal::default(),
             memory,
+            last_number: Rc::default(),
             memory_awaited_since: Rc::default(),
         }
     }
@@ -102,11 +105,17 @@
     pub fn register(&self, socket: TcpStream) -> ClientStream {
         let socket = Rc::new(RefCell::new(Uninterrupted(socket)));
         let memory = ConnectionMemory::new(&self.memory);
-        let connection = Rc::new(Connection::new(Rc::downgrade(&socket), memory));
+        let connection = Rc::new(Connection::new(self.next_number(), Rc::downgrade(&socket), memory));
         self.connections.borrow_mut().push(Rc::downgrade(&connection));
         ClientStream::new(socket, connection, self.read_ahead.clone())
     }
 
+    /// Returns the number of the next connection, from 1.
+    fn next_number(&self) -> ConnectionNumber {
+        self.last_number.set(self.last_number.get() + 1);
+        self.last_number.get()
+    }
+
     /// Closes connections that have timed out, at an interval of 20 ms. Never completes; the caller aborts it
     /// once the front has stopped. At most `max` connections are accepted at a time.
     pub async fn close_timed_out(self, host: Host, max: usize, shutdown: Shutdown) {
@@ -131,6 +140,7 @@
         connections.retain(|connection| connection.strong_count() > 0);
         let open = connections.len();
         let max = (max as f64 * host.budget_share()).ceil() as usize;
+        self.memory.set_share(host.budget_share());
         let limit_reached = open >= max || shutdown.is_short_of_descriptors();
         // After a hand-over the successor accepts all further clients, so none wait for this process.
         Occupancy { open, max, full: limit_reached && host.handed_over_since().is_none() }
--- a/src/net/downstream/front.rs
+++ b/src/net/downstream/front.rs
@@ -12,7 +12,7 @@
 use super::connection::Connection;
 use super::connection_registry::ConnectionRegistry;
 use super::request_head::{self, head_bytes, single_header, RequestHead};
-use super::request_ids::RequestIds;
+use super::request_ids::{RequestIdError, RequestIds};
 use crate::broker::{Answer, Rejection};
 use crate::net::upstream::endpoint_clients::EndpointClients;
 use crate::net::upstream::limits::{MAX_BUFFERED_BODY, MAX_STREAMED_BODY};
@@ -169,8 +169,14 @@
             return reject_and_close(&connection.0, StatusCode::BAD_REQUEST);
         };
         let longest_deadline = self.host.settings().longest_deadline();
-        if !self.request_ids.borrow_mut().insert(&head.trace_id, longest_deadline) {
-            return reject_and_close(&connection.0, StatusCode::CONFLICT);
+        let number = connection.0.number;
+        match self.request_ids.borrow_mut().insert(&head.trace_id, number, longest_deadline) {
+            Ok(()) => {}
+            Err(RequestIdError::Known) => return reject_and_close(&connection.0, StatusCode::CONFLICT),
+            Err(RequestIdError::Full) if matches!(body, RequestBody::Streaming(_)) => {
+                return reject_and_close(&connection.0, StatusCode::SERVICE_UNAVAILABLE);
+            }
+            Err(RequestIdError::Full) => return Response::new(StatusCode::SERVICE_UNAVAILABLE),
         }
         head.request.time_remaining = head.request.time_remaining.saturating_sub(waited);
         self.forward(&request, head, body, connection).await
--- a/src/net/downstream/memory.rs
+++ b/src/net/downstream/memory.rs
@@ -68,7 +68,7 @@
     pub(super) fn reserve_head(&self, bytes: usize) -> bool {
         let before = head_cost(self.head_bytes.get());
         let cost = head_cost(self.head_bytes.get() + bytes) - before;
-        let is_reserved = self.request.try_reserve_small(cost);
+        let is_reserved = self.request.try_reserve(cost);
         self.starved.set(!is_reserved);
         if is_reserved {
             self.head_bytes.set(self.head_bytes.get() + bytes);
@@ -91,7 +91,7 @@
 
     /// Reserves memory to read `bytes` bytes of pipelined requests. Returns `false` if none is left.
     pub(super) fn reserve_read_ahead(&self, bytes: usize) -> bool {
-        let is_reserved = self.read_ahead.try_reserve_small(bytes * BYTES_PER_READ_AHEAD_BYTE);
+        let is_reserved = self.read_ahead.try_reserve(bytes * BYTES_PER_READ_AHEAD_BYTE);
         self.starved.set(!is_reserved);
         is_reserved
     }
--- a/src/net/downstream/request_ids.rs
+++ b/src/net/downstream/request_ids.rs
@@ -1,56 +1,126 @@
 //! The ids of recent requests. Each request must have an id of its own, because an endpoint would take a
 //! second request with the same id for the first.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::hash_map::Entry;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
+/// A request's id, in as little memory as it takes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum RequestId {
+    /// 16 lower-case hexadecimal digits.
+    Number(u64),
+    Text(Box<str>),
+}
+
+impl RequestId {
+    fn new(id: &str) -> Self {
+        let number = u64::from_str_radix(id, 16).ok().filter(|number| format!("{number:016x}") == id);
+        number.map_or_else(|| RequestId::Text(id.into()), RequestId::Number)
+    }
+
+    fn text(&self) -> String {
+        match self {
+            RequestId::Number(number) => format!("{number:016x}"),
+            RequestId::Text(text) => text.to_string(),
+        }
+    }
+}
+
 /// A request's id and when the request was received.
 struct ReceivedId {
     received_at: Instant,
-    id: String,
+    id: RequestId,
+    connection: ConnectionNumber,
+}
+
+/// Identifies the connection over which a request came; 0: a connection of a predecessor.
+pub type ConnectionNumber = u64;
+
+/// Why an id is not added.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestIdError {
+    /// A request with the same id was received within the last two longest deadlines.
+    Known,
+    /// There is no room, or only as much as the connection's own ids take already: a connection that sends very
+    /// many requests leaves room to the others. No id is forgotten early, because its request could run again.
+    Full,
 }
 
 /// The ids of the requests of the last two longest deadlines, during which a request may still be open.
 #[derive(Default)]
 pub struct RequestIds {
-    known: HashSet<String>,
+    known: HashSet<RequestId>,
     oldest_first: VecDeque<ReceivedId>,
+    /// The number of ids of each connection.
+    by_connection: HashMap<ConnectionNumber, usize>,
+    /// The maximum number of ids; 0: not limited.
+    max: usize,
 }
 
 impl RequestIds {
+    /// Creates an empty set of at most `max` ids; 0: not limited.
+    pub fn new(max: usize) -> Self {
+        RequestIds { max, ..RequestIds::default() }
+    }
+
     /// Returns all ids, oldest first, and how long ago each request was received.
     pub fn all(&self) -> Vec<(Duration, String)> {
         let ids = self.oldest_first.iter();
-        ids.map(|received| (received.received_at.elapsed(), received.id.clone())).collect()
+        ids.map(|received| (received.received_at.elapsed(), received.id.text())).collect()
     }
 
     /// Adds the ids of requests that a predecessor received, and how long ago it received each.
     pub fn restore(&mut self, ids: Vec<(Duration, String)>) {
         let now = Instant::now();
         for (age, id) in ids {
-            self.add(id, now.checked_sub(age).unwrap_or(now));
+            self.add(RequestId::new(&id), now.checked_sub(age).unwrap_or(now), 0);
         }
     }
 
-    /// Adds the id of a request that was received now. Returns `false` if a request with the same id was
-    /// received within the last two `longest_deadline`s.
-    pub fn insert(&mut self, id: &str, longest_deadline: Duration) -> bool {
+    /// Adds the id of a request that was received now.
+    ///
+    /// # Errors
+    /// The id is known, or there is no room for another one.
+    pub fn insert(
+        &mut self,
+        id: &str,
+        connection: ConnectionNumber,
+        longest_deadline: Duration,
+    ) -> Result<(), RequestIdError> {
         let now = Instant::now();
         while self.oldest_first.front().is_some_and(|oldest| now > oldest.received_at + 2 * longest_deadline)
         {
-            if let Some(expired) = self.oldest_first.pop_front() {
-                self.known.remove(&expired.id);
-            }
+            self.forget_oldest();
+        }
+        let id = RequestId::new(id);
+        if self.known.contains(&id) {
+            return Err(RequestIdError::Known);
         }
-        self.add(id.to_owned(), now)
+        let own = self.by_connection.get(&connection).copied().unwrap_or(0);
+        if self.max > 0 && self.known.len() + own >= self.max {
+            return Err(RequestIdError::Full);
+        }
+        self.add(id, now, connection);
+        Ok(())
     }
 
-    /// Adds an id. Returns `false` if the id is known already.
-    fn add(&mut self, id: String, received_at: Instant) -> bool {
-        let is_new = self.known.insert(id.clone());
-        if is_new {
-            self.oldest_first.push_back(ReceivedId { received_at, id });
+    /// Adds an id, unless it is known.
+    fn add(&mut self, id: RequestId, received_at: Instant, connection: ConnectionNumber) {
+        if self.known.insert(id.clone()) {
+            *self.by_connection.entry(connection).or_default() += 1;
+            self.oldest_first.push_back(ReceivedId { received_at, id, connection });
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some(oldest) = self.oldest_first.pop_front() else { return };
+        self.known.remove(&oldest.id);
+        if let Entry::Occupied(mut count) = self.by_connection.entry(oldest.connection) {
+            *count.get_mut() -= 1;
+            if *count.get() == 0 {
+                count.remove();
+            }
         }
-        is_new
     }
 }
--- a/src/operator/records.rs
+++ b/src/operator/records.rs
@@ -491,6 +491,7 @@
             keep_alive_timeout: nanos(limits.keepalive),
             connect_timeout: nanos(limits.connect_timeout),
             max_open_requests: limits.open_requests,
+            max_volumes: 0,
             meter_period: nanos(domain.meter_period),
             mean_request_units: domain.unit_mean,
             max_request_units: domain.units_top,
--- a/src/runtime/memory.rs
+++ b/src/runtime/memory.rs
@@ -12,8 +12,8 @@
 /// The part of the budget that large reservations may use, in quarters.
 const BULK_QUARTERS: usize = 3;
 /// The largest reservation that counts as small, in bytes.
-const MAX_SMALL_BYTES: usize = 16 << 10;
-/// For how long after a small reservation failed the budget counts as awaited.
+const MAX_SMALL_BYTES: usize = 24 << 10;
+/// For how long after a reservation failed the budget counts as awaited.
 const RECENTLY: Duration = Duration::from_millis(100);
 
 /// A budget that all clients share. Clones share the same budget.
@@ -22,12 +22,14 @@
 
 #[derive(Debug)]
 struct Budget {
-    /// The budget in bytes.
-    limit: usize,
+    /// The whole budget in bytes.
+    granted: usize,
+    /// The part of it that this process may use now.
+    limit: AtomicUsize,
     reserved: AtomicUsize,
     /// The number of reservations that wait.
     waiting: AtomicUsize,
-    /// When a small reservation failed last.
+    /// When a reservation failed last.
     refused_at: Mutex<Option<Instant>>,
     /// Notified when bytes are released.
     released: Notify,
@@ -37,7 +39,8 @@
     /// Creates a budget of `limit` bytes.
     pub fn new(limit: usize) -> Self {
         MemoryBudget(Arc::new(Budget {
-            limit,
+            granted: limit,
+            limit: AtomicUsize::new(limit),
             reserved: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             refused_at: Mutex::new(None),
@@ -56,8 +59,18 @@
         self.0.waiting.load(Ordering::Relaxed) > 0 || refused_at.is_some_and(|at| at.elapsed() < RECENTLY)
     }
 
+    /// Sets the share of the budget that this process may use, from 0 to 1: two processes share it while one
+    /// takes over from the other.
+    pub fn set_share(&self, share: f64) {
+        self.0.limit.store((self.0.granted as f64 * share) as usize, Ordering::Relaxed);
+    }
+
+    fn limit(&self) -> usize {
+        self.0.limit.load(Ordering::Relaxed)
+    }
+
     fn bulk_limit(&self) -> usize {
-        self.0.limit / 4 * BULK_QUARTERS
+        self.limit() / 4 * BULK_QUARTERS
     }
 
     /// Reserves bytes if no more than `limit` are reserved then.
@@ -90,9 +103,14 @@
         self.reserved.load(Ordering::Relaxed)
     }
 
-    /// Makes a small reservation. Returns `false`, and reserves nothing, if the budget is spent.
-    pub fn try_reserve_small(&self, bytes: usize) -> bool {
-        let is_reserved = self.budget.try_reserve(bytes, self.budget.0.limit);
+    /// Makes a reservation at once. Returns `false`, and reserves nothing, if the budget has no room for it: an
+    /// account that holds little may use the whole budget, one that holds more leaves a part of it to others.
+    pub fn try_reserve(&self, bytes: usize) -> bool {
+        let limit = match self.reserved() + bytes {
+            0..=MAX_SMALL_BYTES => self.budget.limit(),
+            _ => self.budget.bulk_limit(),
+        };
+        let is_reserved = self.budget.try_reserve(bytes, limit);
         if is_reserved {
             self.reserved.fetch_add(bytes, Ordering::Relaxed);
         } else {
@@ -105,13 +123,13 @@
     /// Makes a reservation of any size, as soon as the budget has room for it. One that exceeds the whole budget
     /// waits until nothing else is reserved.
     pub async fn reserve(&self, bytes: usize) {
-        let limit = match bytes {
-            0..=MAX_SMALL_BYTES => self.budget.0.limit,
-            _ => self.budget.bulk_limit().max(bytes),
-        };
         let _waiting = Waiting::new(&self.budget.0.waiting);
         loop {
             let released = self.budget.0.released.notified();
+            let limit = match bytes {
+                0..=MAX_SMALL_BYTES => self.budget.limit(),
+                _ => self.budget.bulk_limit().max(bytes),
+            };
             if self.budget.try_reserve(bytes, limit) {
                 self.reserved.fetch_add(bytes, Ordering::Relaxed);
                 return;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -113,6 +113,7 @@
         max_retry_after: allowed.2,
         connect_timeout: allowed.3,
         max_open_requests: fleet.4,
+        max_volumes: fleet.4 / 2,
         slow_start_units: units.0,
         mean_request_units: units.1,
         max_request_units: units.1 + units.2,
