Reset a connection to an endpoint whose request is given up

Cause: the attempt was given up at once, but a connection that is dropped is closed in order: the system first sends all that was written to it.

Change: a connection that is dropped while its request has no answer is reset, which drops what was not sent.

--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -412,6 +412,16 @@
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
 }
 
+impl Drop for EndpointConnection {
+    /// Resets a connection whose request is given up: the system would go on sending what it has buffered of the
+    /// request, and the endpoint would run it later.
+    fn drop(&mut self) {
+        if matches!(self.state, ReadState::Head { .. }) && !self.request.response_started {
+            let _ = SockRef::from(&self.socket.0).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for EndpointConnection {
     fn poll_read(
         mut self: Pin<&mut Self>,
