Remember the id of a request as long as the request is open, and two deadlines beyond

Cause: ids were forgotten two longest deadlines after the head came, while a large body may take far longer.

Change: RequestIds counts an id as known while its request is open and for two longest deadlines from its end. A successor is told of open ids too; the form of the hand-over is as before.

Test: tests/departed_clients.rs, two rows (the first client stays, leaves). Open: ids taken by the other process of an upgrade.

--- a/src/net/downstream/front.rs
+++ b/src/net/downstream/front.rs
@@ -146,6 +146,18 @@
     }
 }
 
+/// Tells the ids on drop that a request has been answered, or that its client has left.
+struct OpenRequestId {
+    ids: Rc<RefCell<RequestIds>>,
+    id: String,
+}
+
+impl Drop for OpenRequestId {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().request_ended(&self.id);
+    }
+}
+
 impl RequestService {
     /// Handles one request. `/_health` is answered here; all other requests go to the core.
     async fn handle(&self, mut request: Request) -> Response<BoxBody> {
@@ -178,6 +190,7 @@
             }
             Err(RequestIdError::Full) => return Response::new(StatusCode::SERVICE_UNAVAILABLE),
         }
+        let _open = OpenRequestId { ids: self.request_ids.clone(), id: head.trace_id.clone() };
         head.request.time_remaining = head.request.time_remaining.saturating_sub(waited);
         self.forward(&request, head, body, connection).await
     }
--- a/src/net/downstream/request_ids.rs
+++ b/src/net/downstream/request_ids.rs
@@ -2,7 +2,7 @@
 //! second request with the same id for the first.
 
 use std::collections::hash_map::Entry;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 /// A request's id, in as little memory as it takes.
@@ -40,18 +40,22 @@
 /// Why an id is not added.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestIdError {
-    /// A request with the same id was received within the last two longest deadlines.
+    /// A request with the same id is open, or ended within the last two longest deadlines.
     Known,
     /// There is no room, or only as much as the connection's own ids take already: a connection that sends very
     /// many requests leaves room to the others. No id is forgotten early, because its request could run again.
     Full,
 }
 
-/// The ids of the requests of the last two longest deadlines, during which a request may still be open.
+/// The ids of all open requests, and of those that ended within the last two longest deadlines: an attempt of
+/// such a request may still run.
 #[derive(Default)]
 pub struct RequestIds {
-    known: HashSet<RequestId>,
+    /// For each id the number of entries in `oldest_first`, and one more while its request is open.
+    known: HashMap<RequestId, u32>,
     oldest_first: VecDeque<ReceivedId>,
+    /// The ids of open requests, and their connections.
+    open: HashMap<RequestId, ConnectionNumber>,
     /// The number of ids of each connection.
     by_connection: HashMap<ConnectionNumber, usize>,
     /// The maximum number of ids; 0: not limited.
@@ -64,10 +68,14 @@
         RequestIds { max, ..RequestIds::default() }
     }
 
-    /// Returns all ids, oldest first, and how long ago each request was received.
+    /// Returns all ids, oldest first, and how long ago each request was received or ended. An open request counts
+    /// as received now.
     pub fn all(&self) -> Vec<(Duration, String)> {
         let ids = self.oldest_first.iter();
-        ids.map(|received| (received.received_at.elapsed(), received.id.text())).collect()
+        let mut all: Vec<_> =
+            ids.map(|received| (received.received_at.elapsed(), received.id.text())).collect();
+        all.extend(self.open.keys().map(|id| (Duration::ZERO, id.text())));
+        all
     }
 
     /// Adds the ids of requests that a predecessor received, and how long ago it received each.
@@ -78,7 +86,7 @@
         }
     }
 
-    /// Adds the id of a request that was received now.
+    /// Adds the id of a request that was received now, and that is open until [`Self::request_ended`].
     ///
     /// # Errors
     /// The id is known, or there is no room for another one.
@@ -94,28 +102,43 @@
             self.forget_oldest();
         }
         let id = RequestId::new(id);
-        if self.known.contains(&id) {
+        if self.known.contains_key(&id) {
             return Err(RequestIdError::Known);
         }
         let own = self.by_connection.get(&connection).copied().unwrap_or(0);
         if self.max > 0 && self.known.len() + own >= self.max {
             return Err(RequestIdError::Full);
         }
-        self.add(id, now, connection);
+        self.open.insert(id.clone(), connection);
+        self.known.insert(id, 1);
+        *self.by_connection.entry(connection).or_default() += 1;
         Ok(())
     }
 
-    /// Adds an id, unless it is known.
-    fn add(&mut self, id: RequestId, received_at: Instant, connection: ConnectionNumber) {
-        if self.known.insert(id.clone()) {
-            *self.by_connection.entry(connection).or_default() += 1;
-            self.oldest_first.push_back(ReceivedId { received_at, id, connection });
+    /// Records that a request was answered or that its client left. Its id is remembered for two more longest
+    /// deadlines.
+    pub fn request_ended(&mut self, id: &str) {
+        let id = RequestId::new(id);
+        if let Some(connection) = self.open.remove(&id) {
+            self.oldest_first.push_back(ReceivedId { received_at: Instant::now(), id, connection });
         }
     }
 
+    /// Adds the id of a request that has ended.
+    fn add(&mut self, id: RequestId, received_at: Instant, connection: ConnectionNumber) {
+        *self.known.entry(id.clone()).or_default() += 1;
+        *self.by_connection.entry(connection).or_default() += 1;
+        self.oldest_first.push_back(ReceivedId { received_at, id, connection });
+    }
+
     fn forget_oldest(&mut self) {
         let Some(oldest) = self.oldest_first.pop_front() else { return };
-        self.known.remove(&oldest.id);
+        if let Entry::Occupied(mut entries) = self.known.entry(oldest.id) {
+            *entries.get_mut() -= 1;
+            if *entries.get() == 0 {
+                entries.remove();
+            }
+        }
         if let Entry::Occupied(mut count) = self.by_connection.entry(oldest.connection) {
             *count.get_mut() -= 1;
             if *count.get() == 0 {
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -104,3 +104,38 @@
         }
     }
 }
+
+/// Guards against an id running twice that comes again while its first request is still being sent, or after
+/// the client of that left.
+#[test]
+fn an_id_that_comes_again_runs_once_however_long_its_first_request_took() {
+    for leaves in [false, true] {
+        let (endpoint, arrivals) = start_endpoint(8 << 20, Duration::ZERO);
+        let (_process, address) = start(&format!("id-{leaves}"), endpoint);
+        let (upload, trace) = request("PUT", "gravacao", 0, DEADLINE, &"x".repeat(200_000));
+        let mut first = TcpStream::connect(address).unwrap();
+        // 100 kB a second: the request takes four times as long as ids of short requests are remembered.
+        let (last, most) = upload.split_last_chunk::<40_000>().map(|(most, last)| (last, most)).unwrap();
+        for part in most.chunks(10_000) {
+            first.write_all(part).unwrap();
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        let mut first = Some(first);
+        if leaves {
+            first = None;
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        let (again, other) = request("PUT", "gravacao", 0, DEADLINE, "again");
+        let again = String::from_utf8(again).unwrap().replace(&other, &trace);
+        let outcome =
+            Client::connect(address).unwrap().ask(again.as_bytes(), Duration::from_secs(2)).unwrap();
+        let is_refused = matches!(outcome, ClientOutcome::Answered { status: 409, .. });
+        assert!(is_refused, "leaves: {leaves}: {outcome:?}");
+        if let Some(first) = &mut first {
+            first.write_all(last).unwrap();
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        let runs = arrivals.lock().unwrap().iter().filter(|(_, id)| *id == trace).count();
+        assert_eq!(runs, usize::from(!leaves), "leaves: {leaves}: how often the id ran");
+    }
+}
