--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -340,8 +340,12 @@
     /// been incomplete. `None` if it has no such request, if bytes of the request wait to be read, or if bytes
     /// came within the last `max_silence`.
     pub(super) fn incomplete_request_weight(&self, now: Instant, max_silence: Duration) -> Option<u64> {
-        let is_incomplete =
-            matches!(self.stage.get(), Stage::ReadingHead | Stage::ReadingBody | Stage::StreamingBody);
+        let is_incomplete = match self.stage.get() {
+            Stage::ReadingHead => true,
+            // Somebody waits for more of the body, so its client has not sent all of it.
+            Stage::ReadingBody | Stage::StreamingBody => self.is_body_awaited.get(),
+            _ => false,
+        };
         let silent_for = now.saturating_duration_since(self.last_read_at.get());
         let held = self.memory.request_bytes() as u64;
         if !is_incomplete || held == 0 || silent_for < max_silence || self.unread_bytes() > 0 {
