--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -15,5 +15,5 @@
 pub mod front;
 mod memory;
 pub mod read_ahead;
-mod request_head;
+pub mod request_head;
 pub mod request_ids;
