Give the HTTP library one request at a time, and reserve bodies as they arrive

Cause: what follows a request was given to the library as if it were the request's body, up to 16 KiB at once; the library parses all of it, and each parsed head takes some 8 KiB whatever its length. Nothing counted that. A first kilobyte of heads reserved 63 KiB, an upload 128 KiB and a small body 152 KiB for their whole life, so estimates turned clients away while nobody knew what was held. The arrival times of a slow body grew by an entry each 2 ms.

Change: request_framing.rs finds the end of a head and, from the library's own parse, that of the body; the next head is given once the last response is written, in pieces that do not enlarge the library's buffer. A parsed head reserves what it takes, a body its parts as they arrive, an upload 20 KiB. The first 4 KiB of each connection are always read, however much others send ahead; beyond 2 MiB for all, reading stops where it ended connections before. Of a body only the arrival of its last byte is kept.

--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -2,11 +2,11 @@
 //! out.
 //!
 //! actix-http has one timeout for a connection's first head, one for an idle connection and none for a
-//! body. It reads up to 128 KiB of a head, and as much again of pipelined requests. Here each of these has
-//! a limit of its own.
+//! body. It reads up to 128 KiB of a head. Here each of these has a limit of its own.
 
 use super::memory::ConnectionMemory;
 use super::read_ahead::ArrivalTimes;
+use super::request_framing::{BodyEnd, RequestFraming, RequestPart};
 use super::request_ids::ConnectionNumber;
 use crate::net::upstream::request_body::ArrivedBytes;
 use crate::runtime::sockets::Uninterrupted;
@@ -47,7 +47,7 @@
 /// How long a connection must have been idle to count as long idle during a drain: its next request is not
 /// expected at this instant.
 const LONG_IDLE: Duration = Duration::from_millis(250);
-/// The maximum length of a head, in bytes, including the part of the body that is read along with it.
+/// The maximum length of a head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 /// The stage of a connection, or of the request on it.
@@ -79,6 +79,19 @@
     pub(super) close_all_idle_after: Duration,
 }
 
+/// What the HTTP library is given next.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum NextPart {
+    /// The next head, which is not known to be complete.
+    Head,
+    /// This many bytes of a head.
+    RestOfHead(usize),
+    /// Bytes of a body.
+    Body,
+    /// Nothing before it has parsed a head, or answered the request.
+    Nothing,
+}
+
 /// One client's connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -98,7 +111,11 @@
     pub(super) closes_when_idle: Cell<bool>,
     /// Whether the client sent more pipelined requests than are held.
     pub(super) read_ahead_overflowed: Cell<bool>,
-    /// The number of bytes of pipelined requests that are held outside actix-http.
+    /// The position in the client's requests.
+    pub(super) framing: RefCell<RequestFraming>,
+    /// Whether a part of a response could not be written yet.
+    pub(super) is_write_blocked: Cell<bool>,
+    /// The number of bytes that are held outside actix-http.
     pub(super) read_ahead_bytes: Cell<usize>,
     /// The bytes of a body that the library was given since its reader last took some.
     body_given: Cell<usize>,
@@ -128,6 +145,8 @@
             close_requested: Notify::new(),
             closes_when_idle: Cell::new(false),
             read_ahead_overflowed: Cell::new(false),
+            framing: RefCell::default(),
+            is_write_blocked: Cell::new(false),
             read_ahead_bytes: Cell::new(0),
             body_given: Cell::new(0),
             is_body_awaited: Cell::new(false),
@@ -155,18 +174,22 @@
         }
     }
 
-    /// Records that a request's head of `bytes` bytes and `fields` fields is complete. Its body may still have
-    /// to arrive.
-    pub fn head_complete(&self, bytes: u64, fields: usize) {
-        self.memory.head_complete(bytes, fields);
+    /// Records that the library has parsed a request's head, and that this body follows.
+    pub fn head_complete(&self, body: BodyEnd) {
+        self.framing.borrow_mut().head_parsed(body);
         self.body_given.set(0);
         self.is_body_awaited.set(false);
         self.enter(Stage::ReadingBody);
     }
 
-    /// Returns whether bytes that are read now belong to a head.
-    pub(super) fn is_reading_head(&self) -> bool {
-        matches!(self.stage.get(), Stage::New | Stage::Idle | Stage::ReadingHead)
+    /// Returns what the library is given next.
+    pub(super) fn next_part(&self) -> NextPart {
+        match self.framing.borrow_mut().part() {
+            RequestPart::Head { remaining: 0 } => NextPart::Head,
+            RequestPart::Head { remaining } => NextPart::RestOfHead(*remaining),
+            RequestPart::Body(_) => NextPart::Body,
+            RequestPart::ParsingHead | RequestPart::Complete => NextPart::Nothing,
+        }
     }
 
     /// Records that the library was given bytes of a body.
@@ -212,10 +235,11 @@
     /// Records that the request's response is being sent. Pipelined requests are read next.
     pub fn answered(&self) {
         self.memory.request_ended();
+        self.framing.borrow_mut().answered();
         if self.stage.get() == Stage::Closing {
             return;
         }
-        let next_has_begun = self.stage.get() == Stage::InProgress && self.stage_bytes.get() > 0;
+        let next_has_begun = self.has_requests_waiting();
         self.enter(if next_has_begun { Stage::ReadingHead } else { Stage::Idle });
     }
 
@@ -258,12 +282,12 @@
         self.read_ahead_bytes.get() > 0 && !self.has_read_ahead_overflowed()
     }
 
-    /// Checks the length of the head that is being read.
+    /// Checks the length of an incomplete head of which `length` bytes have arrived.
     ///
     /// # Errors
     /// The head is longer than 32 KiB.
-    pub(super) fn check_head_size(&self) -> io::Result<()> {
-        if self.stage.get() == Stage::ReadingHead && self.stage_bytes.get() > MAX_HEAD_BYTES {
+    pub(super) fn check_head_size(&self, length: usize) -> io::Result<()> {
+        if length > MAX_HEAD_BYTES {
             let message = format!("the request head is longer than {MAX_HEAD_BYTES} bytes");
             return Err(io::Error::new(io::ErrorKind::InvalidData, message));
         }
@@ -321,6 +345,8 @@
     fn has_stage_timed_out(&self, now: Instant, full: bool, shutting_down: bool) -> bool {
         let silent_for = now.saturating_duration_since(self.last_read_at.get());
         let timeout = match self.stage.get() {
+            // The head is not read before the response to the last request is written.
+            Stage::ReadingHead if self.is_write_blocked.get() => return false,
             Stage::New if full => FIRST_BYTE_TIMEOUT_WHEN_FULL,
             Stage::New => FIRST_BYTE_TIMEOUT,
             Stage::Closing if full => CLOSING_TIMEOUT_WHEN_FULL,
--- a/src/net/downstream/front.rs
+++ b/src/net/downstream/front.rs
@@ -11,6 +11,7 @@
 use super::client_stream::ClientStream;
 use super::connection::Connection;
 use super::connection_registry::ConnectionRegistry;
+use super::memory::STREAMED_BODY_BYTES;
 use super::request_head::{self, head_bytes, single_header, RequestHead};
 use super::request_ids::{RequestIdError, RequestIds};
 use crate::broker::{Answer, Rejection};
@@ -30,7 +31,7 @@
     StatusCode,
 };
 use actix_service::{fn_service, Service, ServiceFactory};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::{stream, Stream, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -48,6 +49,10 @@
 const MEMORY_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a request waits for that memory whose body is still being sent.
 const MEMORY_TIMEOUT_WHILE_SENDING: Duration = Duration::from_millis(2400);
+/// For how many bytes of a body that is buffered memory is reserved at a time.
+const BODY_PART_BYTES: usize = 16 << 10;
+/// How many bytes of responses actix-http holds before it writes them, if it can.
+const WRITE_BUFFER_BYTES: usize = 8 << 10;
 /// How often it is checked whether a body has arrived that waits for memory.
 const BODY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -108,6 +113,7 @@
         })
         .client_disconnect_timeout(DISCONNECT_TIMEOUT)
         .h1_allow_half_closed(false)
+        .h1_write_buffer_size(WRITE_BUFFER_BYTES)
         .h1(handler);
     let Ok(http) = http.new_service(()).await else { return error!("the HTTP service could not be set up") };
     let registry = ConnectionRegistry::new(memory);
@@ -163,7 +169,7 @@
     async fn handle(&self, mut request: Request) -> Response<BoxBody> {
         let connection = request.conn_data::<Rc<Connection>>().cloned();
         let connection = AnsweredOnDrop(connection.expect("every connection has its state"));
-        connection.0.head_complete(head_bytes(&request), request.headers().len());
+        connection.0.head_complete(request_head::body_end(&request));
         if request.path() == "/_health" {
             connection.0.request_arrived(head_bytes(&request));
             let ready = self.host.is_ready();
@@ -320,14 +326,17 @@
     }
 }
 
-/// Waits for the memory of a body. A client's time counts from the last byte that it sent, so a body that has
-/// arrived does not wait for long.
+/// Waits for `bytes` bytes of memory for a body. A client's time counts from the last byte that it sent, so a body
+/// that has arrived does not wait for long.
 ///
 /// # Errors
-/// The status to respond with, if no memory was left in time. Nothing of the body was read.
-async fn reserve_body(connection: &Connection, content_length: Option<u64>) -> Result<(), StatusCode> {
-    let length = content_length.map(|length| length as usize);
-    let mut reserved = std::pin::pin!(connection.memory.reserve_body(length, MAX_BUFFERED_BODY));
+/// The status to respond with, if no memory was left in time.
+async fn reserve_body(
+    connection: &Connection,
+    content_length: Option<u64>,
+    bytes: usize,
+) -> Result<(), StatusCode> {
+    let mut reserved = std::pin::pin!(connection.memory.reserve_body(bytes));
     let started_at = Instant::now();
     let mut arrived_at: Option<Instant> = None;
     while tokio::time::timeout(BODY_CHECK_INTERVAL, &mut reserved).await.is_err() {
@@ -342,9 +351,36 @@
     Ok(())
 }
 
-/// Returns the capacity of the buffer for a body that is buffered whole; 0: it is not, or its length is unknown.
-fn buffered_length(content_length: Option<u64>) -> usize {
-    content_length.filter(|length| *length <= MAX_BUFFERED_BODY as u64).unwrap_or(0) as usize
+/// A body that is buffered, and the memory for it, which is reserved as the body arrives.
+struct BufferedBody<'a> {
+    bytes: Vec<u8>,
+    reserved: usize,
+    content_length: Option<u64>,
+    connection: &'a Connection,
+}
+
+impl BufferedBody<'_> {
+    /// Waits for the memory of the next part.
+    ///
+    /// # Errors
+    /// The status to respond with, if no memory was left in time.
+    async fn reserve_part(&mut self) -> Result<(), StatusCode> {
+        let rest = self.content_length.map_or(BODY_PART_BYTES, |length| length as usize - self.bytes.len());
+        let part = rest.min(BODY_PART_BYTES);
+        let missing = (self.bytes.len() + part).saturating_sub(self.reserved);
+        if missing > 0 {
+            reserve_body(self.connection, self.content_length, missing).await?;
+            self.reserved += missing;
+        }
+        Ok(())
+    }
+
+    fn push(&mut self, chunk: &[u8]) {
+        if self.bytes.capacity() - self.bytes.len() < chunk.len() {
+            self.bytes.reserve_exact(chunk.len().max(BODY_PART_BYTES));
+        }
+        self.bytes.extend_from_slice(chunk);
+    }
 }
 
 /// Reads a request's body: the whole body, or the beginning of a large one, which is streamed.
@@ -358,29 +394,35 @@
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
     let has_body = request.head().chunked() || content_length.is_some_and(|length| length > 0);
-    if has_body {
-        reserve_body(connection, content_length).await?;
-    }
     let mut payload = TrackedPayload { payload: request.take_payload(), connection: connection.clone() };
-    let mut body = BytesMut::with_capacity(buffered_length(content_length));
+    let mut body = BufferedBody { bytes: Vec::new(), reserved: 0, content_length, connection };
     while content_length.is_none_or(|length| length <= MAX_BUFFERED_BODY as u64)
-        && body.len() <= MAX_BUFFERED_BODY
+        && body.bytes.len() <= MAX_BUFFERED_BODY
     {
+        if has_body {
+            body.reserve_part().await?;
+        }
         match payload.next().await {
-            Some(chunk) => body.extend_from_slice(&chunk.map_err(|_| StatusCode::BAD_REQUEST)?),
+            Some(chunk) => body.push(&chunk.map_err(|_| StatusCode::BAD_REQUEST)?),
             // A request other than PUT has no body. An empty one would be forwarded with a Content-Length
             // that the client did not send.
-            None if request.method() != Method::PUT && body.is_empty() => return Ok(RequestBody::None),
-            None => return Ok(RequestBody::Buffered(body.freeze())),
+            None if request.method() != Method::PUT && body.bytes.is_empty() => return Ok(RequestBody::None),
+            None => {
+                // The body is copied once more on its way to an endpoint.
+                reserve_body(connection, content_length, body.bytes.len()).await?;
+                return Ok(RequestBody::Buffered(body.bytes.into()));
+            }
         }
     }
+    reserve_body(connection, content_length, STREAMED_BODY_BYTES).await?;
+    let body = Bytes::from(body.bytes);
     let (connection, head) = (connection.clone(), head_bytes(request));
     let client = ClientProgress::new(connection.arrived_bytes());
     let sender = connection.clone();
     Ok(RequestBody::Streaming(Rc::new(Upload {
         content_length,
         bytes_read: Cell::new(body.len() as u64),
-        buffered: body.freeze(),
+        buffered: body,
         payload: RefCell::new(payload.boxed_local()),
         on_received: Box::new(move |body| {
             connection.request_arrived(head + body);
--- a/src/net/downstream/memory.rs
+++ b/src/net/downstream/memory.rs
@@ -1,40 +1,40 @@
 //! The memory that one client connection holds: what is reserved before it is read, and what is released when
 //! the request it belongs to has ended.
 
+use super::read_ahead::FIRST_READ_BYTES;
 use crate::runtime::memory::{MemoryAccount, MemoryBudget};
 use std::cell::Cell;
 
-/// What an open connection takes without any request: its state, and the library's buffers.
-const OPEN_CONNECTION_BYTES: usize = 24 << 10;
-/// What a byte of a head takes at most until the head is parsed: in the library's table a field of four bytes
-/// takes 300.
-const BYTES_PER_HEAD_BYTE: usize = 75;
-/// What heads take at most beside their own bytes. The library accepts 96 fields in each, and as many bytes as
-/// are read at a time hold no more than two such heads.
-const MAX_FIELDS_BYTES: usize = 2 * 96 * BYTES_PER_FIELD;
+/// What an open connection takes with a small request: its state, the library's buffers, the first bytes that are
+/// read, and a small parsed head.
+pub const OPEN_CONNECTION_BYTES: usize = 36 << 10;
+/// What of that is for a parsed head.
+const SMALL_HEAD_BYTES: usize = 8 << 10;
+/// What a byte of a parsed head takes: the library keeps the buffer that it was read into.
+const BYTES_PER_HEAD_BYTE: usize = 2;
+/// What the library's buffer takes at most beside what an open connection takes, once a head was large.
+const LARGE_BUFFER_BYTES: usize = 64 << 10;
 /// What a field of a parsed head takes at most beside its own bytes.
 const BYTES_PER_FIELD: usize = 320;
-/// What a byte of a body that is buffered takes: once in the request, once on its way to the endpoint.
-const BYTES_PER_BODY_BYTE: usize = 2;
-/// What a byte of pipelined requests takes: their buffer grows by doubling.
+/// What a byte of pipelined requests takes: their buffer may be half empty.
 const BYTES_PER_READ_AHEAD_BYTE: usize = 2;
-/// What the library holds at most of a body that is being read.
-const BODY_IN_LIBRARY_BYTES: usize = 32 << 10;
 /// What a body takes at most while it is streamed: in the library, and on its way to the endpoint.
-const STREAMED_BODY_BYTES: usize = 128 << 10;
+pub const STREAMED_BODY_BYTES: usize = 20 << 10;
 
 /// The memory of one connection.
 #[derive(Debug)]
 pub struct ConnectionMemory {
-    _connection: MemoryAccount,
-    /// The head and the body of the request, and pipelined requests that the library has.
+    connection: MemoryAccount,
+    /// Whether the library has a large buffer to read into, which it keeps as long as the connection is open.
+    has_large_buffer: Cell<bool>,
+    /// The head and the body of the request that the library has.
     request: MemoryAccount,
     /// The response, until it is written.
     response: MemoryAccount,
-    /// Pipelined requests that are held outside the library.
+    /// Bytes that were read and that the library has not been given.
     read_ahead: MemoryAccount,
-    /// Bytes of heads that were reserved for and are not parsed yet.
-    head_bytes: Cell<usize>,
+    /// Their number.
+    read_ahead_bytes: Cell<usize>,
     /// Whether the connection is not read, because no memory is left.
     starved: Cell<bool>,
 }
@@ -45,11 +45,12 @@
         let connection = budget.open_account();
         connection.reserve_held(OPEN_CONNECTION_BYTES);
         ConnectionMemory {
-            _connection: connection,
+            connection,
+            has_large_buffer: Cell::new(false),
             request: budget.open_account(),
             response: budget.open_account(),
             read_ahead: budget.open_account(),
-            head_bytes: Cell::new(0),
+            read_ahead_bytes: Cell::new(0),
             starved: Cell::new(false),
         }
     }
@@ -59,55 +60,57 @@
         self.starved.get()
     }
 
-    /// Returns the number of bytes that are reserved for the request.
+    /// Records whether the connection is not read, because no memory is left.
+    pub(super) fn set_starved(&self, starved: bool) {
+        self.starved.set(starved);
+    }
+
+    /// Returns the number of bytes that are reserved for the request and for what was read behind it.
     pub(super) fn request_bytes(&self) -> usize {
-        self.request.reserved()
+        self.request.reserved() + self.read_ahead.reserved()
     }
 
-    /// Reserves memory to read `bytes` bytes of a head. Returns `false` if none is left.
-    pub(super) fn reserve_head(&self, bytes: usize) -> bool {
-        let before = head_cost(self.head_bytes.get());
-        let cost = head_cost(self.head_bytes.get() + bytes) - before;
-        let is_reserved = self.request.try_reserve(cost);
+    /// Reserves the memory of a parsed head of `bytes` bytes and `fields` fields. Returns `false` if none is left. A
+    /// small head always has its memory.
+    pub(super) fn reserve_head(&self, bytes: usize, fields: usize) -> bool {
+        let parsed = bytes * BYTES_PER_HEAD_BYTE + fields * BYTES_PER_FIELD;
+        let is_reserved = self.reserve_large_buffer(bytes)
+            && self.request.try_reserve(parsed.saturating_sub(SMALL_HEAD_BYTES));
         self.starved.set(!is_reserved);
-        if is_reserved {
-            self.head_bytes.set(self.head_bytes.get() + bytes);
-        }
         is_reserved
     }
 
-    /// Releases what was reserved for bytes of a head that did not come.
-    pub(super) fn unread_head(&self, bytes: usize) {
-        let before = head_cost(self.head_bytes.get());
-        self.head_bytes.set(self.head_bytes.get().saturating_sub(bytes));
-        self.request.release(before - head_cost(self.head_bytes.get()));
-    }
-
-    /// Records that a head of `bytes` bytes and `fields` fields is parsed.
-    pub(super) fn head_complete(&self, bytes: u64, fields: usize) {
-        let parsed = bytes as usize + fields * BYTES_PER_FIELD;
-        self.request.release(head_cost(self.head_bytes.replace(0)).saturating_sub(parsed));
+    /// Reserves the library's large buffer if a head of `bytes` bytes needs it. Returns `false` if none is left.
+    fn reserve_large_buffer(&self, bytes: usize) -> bool {
+        if bytes > FIRST_READ_BYTES && !self.has_large_buffer.get() {
+            self.has_large_buffer.set(self.connection.try_reserve(LARGE_BUFFER_BYTES));
+            return self.has_large_buffer.get();
+        }
+        true
     }
 
-    /// Reserves memory to read `bytes` bytes of pipelined requests. Returns `false` if none is left.
+    /// Reserves memory to read `bytes` bytes ahead of the library. Returns `false` if none is left. The first bytes
+    /// always have their memory.
     pub(super) fn reserve_read_ahead(&self, bytes: usize) -> bool {
-        let is_reserved = self.read_ahead.try_reserve(bytes * BYTES_PER_READ_AHEAD_BYTE);
+        let held = self.read_ahead_bytes.get();
+        let is_reserved = self.read_ahead.try_reserve(read_ahead_cost(held + bytes) - read_ahead_cost(held));
+        if is_reserved {
+            self.read_ahead_bytes.set(held + bytes);
+        }
         self.starved.set(!is_reserved);
         is_reserved
     }
 
-    /// Releases bytes of pipelined requests that are not held.
+    /// Releases bytes that are not held ahead of the library any more.
     pub(super) fn release_read_ahead(&self, bytes: usize) {
-        self.read_ahead.release(bytes * BYTES_PER_READ_AHEAD_BYTE);
+        let held = self.read_ahead_bytes.get();
+        let rest = held.saturating_sub(bytes);
+        self.read_ahead_bytes.set(rest);
+        self.read_ahead.release(read_ahead_cost(held) - read_ahead_cost(rest));
     }
 
-    /// Waits for the memory of a body of this length; `None`: its length is not stated.
-    pub(super) async fn reserve_body(&self, length: Option<usize>, max_buffered: usize) {
-        let buffered = length.unwrap_or(max_buffered) * BYTES_PER_BODY_BYTE;
-        let bytes = match length {
-            Some(length) if length > max_buffered => STREAMED_BODY_BYTES,
-            _ => buffered + BODY_IN_LIBRARY_BYTES.min(buffered),
-        };
+    /// Waits for `bytes` bytes of memory for a body.
+    pub(super) async fn reserve_body(&self, bytes: usize) {
         self.request.reserve(bytes).await;
     }
 
@@ -127,7 +130,7 @@
     }
 }
 
-/// Returns what `bytes` bytes of heads take at most until they are parsed.
-fn head_cost(bytes: usize) -> usize {
-    (bytes * BYTES_PER_HEAD_BYTE).min(MAX_FIELDS_BYTES + 2 * bytes)
+/// Returns what `bytes` bytes that are read ahead take beside what an open connection takes.
+fn read_ahead_cost(bytes: usize) -> usize {
+    bytes.saturating_sub(FIRST_READ_BYTES) * BYTES_PER_READ_AHEAD_BYTE
 }
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -7,7 +7,7 @@
 //! The HTTP library, actix-http, has no timeouts for bodies, or for the heads of later requests on a
 //! connection. These modules limit connections instead: [`connection`] is the state of one connection,
 //! [`connection_registry`] closes connections that have timed out, [`client_stream`] is the stream that the
-//! library reads from, [`read_ahead`] holds pipelined requests, and `memory` counts what a connection holds.
+//! library reads from, [`request_framing`] finds the ends of requests, [`read_ahead`] holds what is sent ahead, and `memory` counts what a connection holds.
 
 pub mod client_stream;
 pub mod connection;
@@ -15,5 +15,6 @@
 pub mod front;
 mod memory;
 pub mod read_ahead;
+pub mod request_framing;
 pub mod request_head;
 pub mod request_ids;
--- a/src/net/downstream/request_head.rs
+++ b/src/net/downstream/request_head.rs
@@ -1,8 +1,10 @@
 //! Parses the head of a client's request into the core's terms. The platform's header fields are
 //! interpreted here and nowhere else.
 
+use super::request_framing::BodyEnd;
 use crate::broker::{Broker, IncomingRequest};
 use crate::interface::VolumeId;
+use crate::net::upstream::chunked::ChunkedBody;
 use crate::net::upstream::upstream_call::IDEMPOTENCY_KEY;
 use actix_http::header::{HeaderMap, HeaderValue};
 use actix_http::{HttpMessage, Method, Request};
@@ -133,6 +135,23 @@
     (request.method().as_str().len() + REQUEST_LINE + target + headers.sum::<usize>() + "\r\n".len()) as u64
 }
 
+/// Returns where the library expects the end of a request's body.
+pub fn body_end(request: &Request) -> BodyEnd {
+    let headers = request.headers();
+    let length = single_header(headers, "Content-Length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let is_websocket =
+        |value: &HeaderValue| value.to_str().is_ok_and(|text| text.trim().eq_ignore_ascii_case("websocket"));
+    if request.chunked().unwrap_or(false) {
+        BodyEnd::LastChunk(ChunkedBody::new())
+    } else if headers.get_all("Upgrade").any(is_websocket)
+        || length == 0 && request.method() == Method::CONNECT
+    {
+        BodyEnd::Close
+    } else {
+        BodyEnd::After(length)
+    }
+}
+
 /// Parses digits with or without a fraction. A sign, an exponent, infinity and NaN are rejected.
 fn parse_decimal(text: &str) -> Option<f64> {
     text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.').then(|| text.parse().ok())?
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -32,8 +32,10 @@
 
 /// What a byte of a buffered body takes: its buffer grows by doubling.
 const BYTES_PER_BUFFERED_BYTE: usize = 2;
-/// What a body takes at most that is streamed, or whose length is unknown.
-const STREAMED_BODY_BYTES: usize = 96 << 10;
+/// What a body takes at most that is streamed: as it is received, and on its way to the client.
+const STREAMED_BODY_BYTES: usize = 32 << 10;
+/// What a body takes at most whose length is unknown: its beginning may be buffered.
+const UNKNOWN_BODY_BYTES: usize = 96 << 10;
 
 /// Returns the value of a header without surrounding whitespace, or `None` if it is missing or not visible
 /// ASCII. If the header is repeated, the first value is returned.
@@ -131,7 +133,8 @@
     fn bytes_to_reserve(&self) -> usize {
         match self.content_length {
             Some(length) if length <= MAX_BUFFERED_BODY as u64 => length as usize * BYTES_PER_BUFFERED_BYTE,
-            _ => STREAMED_BODY_BYTES,
+            Some(_) => STREAMED_BODY_BYTES,
+            None => UNKNOWN_BODY_BYTES,
         }
     }
 
--- a/src/runtime/memory.rs
+++ b/src/runtime/memory.rs
@@ -106,6 +106,9 @@
     /// Makes a reservation at once. Returns `false`, and reserves nothing, if the budget has no room for it: an
     /// account that holds little may use the whole budget, one that holds more leaves a part of it to others.
     pub fn try_reserve(&self, bytes: usize) -> bool {
+        if bytes == 0 {
+            return true;
+        }
         let limit = match self.reserved() + bytes {
             0..=MAX_SMALL_BYTES => self.budget.limit(),
             _ => self.budget.bulk_limit(),
@@ -126,7 +129,7 @@
         let _waiting = Waiting::new(&self.budget.0.waiting);
         loop {
             let released = self.budget.0.released.notified();
-            let limit = match bytes {
+            let limit = match self.reserved() + bytes {
                 0..=MAX_SMALL_BYTES => self.budget.limit(),
                 _ => self.budget.bulk_limit().max(bytes),
             };
