Bound the buffers of sockets, and plan all bounds within the memory that is granted

Cause: the system let each socket hold 2 to 4 MB; no bound of the process named them, and the shares of the budget were chosen one by one and added up to more than the memory.

Change: memory_plan.rs divides memory_mb: the program, the states, pairs of a client's and an endpoint's connection with the buffers of both sockets in both directions, and what requests take beside them. The listener and the connections to endpoints get their sizes by socket2. A start logs the plan, and warns if the least does not fit.

--- a/src/app/serve_platform.rs
+++ b/src/app/serve_platform.rs
@@ -9,13 +9,15 @@
 use shaletack::config::{self, Config};
 use shaletack::net::discovery::endpoint_list_watch::EndpointListWatch;
 use shaletack::net::downstream::front::{self, Front};
+use shaletack::net::downstream::memory::OPEN_CONNECTION_BYTES;
 use shaletack::net::downstream::request_ids::RequestIds;
 use shaletack::net::handover::{self, HandoverLink, HandoverState, Identity, ReceivedHandover};
 use shaletack::net::management;
 use shaletack::net::upstream::endpoint_clients::EndpointClients;
 use shaletack::runtime::host::Host;
 use shaletack::runtime::memory::MemoryBudget;
-use shaletack::runtime::sockets;
+use shaletack::runtime::memory_plan::{Grant, MemoryPlan};
+use shaletack::runtime::sockets::{self, SocketBuffers};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,14 +29,6 @@
 const RESERVED_DESCRIPTORS: usize = 32;
 /// The first descriptor that a process can inherit beside standard input, output and error.
 const FIRST_INHERITED_DESCRIPTOR: usize = 3;
-/// The memory that the process needs without any client, in MiB.
-const BASE_MEMORY_MIB: u64 = 8;
-/// The most memory that one client connection takes, in bytes: a whole body and the buffers for it.
-const CONNECTION_BYTES: u64 = 128 << 10;
-/// The memory that a connection to an endpoint takes without a body, in bytes.
-const ENDPOINT_CONNECTION_BYTES: u64 = 16 << 10;
-/// The number of client connections that are allowed however little memory there is.
-const MIN_CONNECTIONS: u64 = 16;
 /// Connections to endpoints may take one of this many descriptors.
 const ENDPOINT_DESCRIPTOR_DIVISOR: usize = 4;
 
@@ -156,15 +150,16 @@
         let in_force = Rc::new(RefCell::new(config.text.clone()));
         let reload = Reload { host: host.clone(), watch, file, in_force: in_force.clone() };
         reload.spawn(signals.hangup);
-        let listener = listen(inherited, &config).await?;
-        let endpoint_clients = EndpointClients::new(&host, budget.endpoints);
+        let plan = plan_memory(&config, &budget);
+        let listener = listen(inherited, &config, plan.socket_buffers).await?;
+        let endpoint_clients = EndpointClients::new(&host, plan.endpoints, plan.socket_buffers);
         if can_have_successor {
             accept_successors(&link, &host, &request_ids, &in_force);
         }
         ready.set(true);
         let hand_over = Rc::new(move || link.is_connected().then(|| link.yield_budgets()).is_some());
-        let max_connections = budget.clients.min(connections_in_memory(config.max_memory_mib));
-        let memory = MemoryBudget::new(client_memory(config.max_memory_mib, budget.endpoints));
+        let max_connections = plan.clients;
+        let memory = MemoryBudget::new(usize::try_from(plan.client_bytes).unwrap_or(usize::MAX));
         let front = Front { host, endpoint_clients, max_connections, memory, request_ids, hand_over };
         let mut terminate = signals.terminate;
         front::serve(front, listener, async move {
@@ -210,25 +205,25 @@
     }
 }
 
-/// Returns the number of client connections that fit into the memory of the process; 0 MiB: memory is not
-/// limited.
-fn connections_in_memory(max_memory_mib: u64) -> usize {
-    if max_memory_mib == 0 {
-        return usize::MAX;
-    }
-    let bytes = max_memory_mib.saturating_sub(BASE_MEMORY_MIB) << 20;
-    (bytes / CONNECTION_BYTES).max(MIN_CONNECTIONS) as usize
-}
-
-/// Returns the memory that clients may make the process hold, in bytes; 0 MiB: memory is not limited.
-fn client_memory(max_memory_mib: u64, endpoint_connections: usize) -> usize {
-    if max_memory_mib == 0 {
-        return usize::MAX;
+/// Divides the memory of the process, and warns if it is too small for what the process may hold.
+fn plan_memory(config: &Config, budget: &DescriptorBudget) -> MemoryPlan {
+    let plan = MemoryPlan::new(Grant {
+        memory_mib: config.max_memory_mib,
+        state_bytes: config::state_memory(config.max_memory_mib),
+        connection_bytes: OPEN_CONNECTION_BYTES as u64,
+        max_clients: budget.clients,
+        max_endpoints: budget.endpoints,
+    });
+    let MemoryPlan { clients, endpoints, .. } = plan;
+    let (total_kib, client_kib) = (plan.total_bytes >> 10, plan.client_bytes >> 10);
+    let SocketBuffers { receive, send } =
+        plan.socket_buffers.unwrap_or(SocketBuffers { receive: 0, send: 0 });
+    let memory_mb = config.max_memory_mib;
+    info!(memory_mb, clients, endpoints, receive, send, client_kib, total_kib, "memory plan");
+    if !plan.fits(memory_mb) {
+        warn!(memory_mb, total_kib, "memory_mb is too small for the least that the process needs");
     }
-    let total = max_memory_mib.saturating_sub(BASE_MEMORY_MIB) << 20;
-    let endpoints = endpoint_connections as u64 * ENDPOINT_CONNECTION_BYTES;
-    let others = endpoints + config::state_memory(max_memory_mib);
-    total.saturating_sub(others).max(MIN_CONNECTIONS * CONNECTION_BYTES) as usize
+    plan
 }
 
 async fn serve_management(
@@ -245,7 +240,11 @@
     Ok(())
 }
 
-async fn listen(inherited: Option<std::net::TcpListener>, config: &Config) -> Result<TcpListener, Error> {
+async fn listen(
+    inherited: Option<std::net::TcpListener>,
+    config: &Config,
+    buffers: Option<SocketBuffers>,
+) -> Result<TcpListener, Error> {
     let address = config.listen;
     let failed = |source| Error::Listen { address, source };
     let listener = match inherited {
@@ -253,6 +252,9 @@
         None => sockets::listen(address).await,
     };
     let listener = listener.map_err(failed)?;
+    if let Some(buffers) = buffers {
+        buffers.apply(&listener).map_err(failed)?;
+    }
     let at = listener.local_addr().map_err(failed)?;
     info!(%at, name = config.name, "listens for HTTP");
     Ok(listener)
--- a/src/nbd/endpoint_client.rs
+++ b/src/nbd/endpoint_client.rs
@@ -106,7 +106,7 @@
     }
 
     async fn open(&self, endpoint: SocketAddr) -> Result<EndpointConnection, TransportOutcome> {
-        let connected = connect(endpoint, self.connect_timeout).await;
+        let connected = connect(endpoint, self.connect_timeout, None).await;
         let stream = connected.map_err(|why| connect_outcome(&why))?;
         let _ = stream.set_nodelay(true);
         let handshake = EndpointConnection::handshake(stream, &self.export_name).await;
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -13,7 +13,7 @@
 pub mod connection;
 pub mod connection_registry;
 pub mod front;
-mod memory;
+pub mod memory;
 pub mod read_ahead;
 pub mod request_framing;
 pub mod request_head;
--- a/src/net/upstream/endpoint_clients.rs
+++ b/src/net/upstream/endpoint_clients.rs
@@ -10,7 +10,7 @@
 use super::open_connections::OpenConnections;
 use crate::interface::Settings;
 use crate::runtime::host::Host;
-use crate::runtime::sockets::{address_of, connect};
+use crate::runtime::sockets::{address_of, connect, SocketBuffers};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::http::Uri;
@@ -43,6 +43,7 @@
     timeouts: Cell<ConnectionTimeouts>,
     keep_alive: Rc<KeepAlivePolicy>,
     max_connections: usize,
+    socket_buffers: Option<SocketBuffers>,
     open: OpenConnections,
     permits: Arc<Semaphore>,
 }
@@ -82,8 +83,8 @@
 
 impl EndpointClients {
     /// Returns an empty pool. At most `max_connections` connections are in use at a time, and idle ones are
-    /// closed while that many or more are open.
-    pub fn new(host: &Host, max_connections: usize) -> Rc<Self> {
+    /// closed while that many or more are open. Their sockets have these buffers; `None`: the system's.
+    pub fn new(host: &Host, max_connections: usize, socket_buffers: Option<SocketBuffers>) -> Rc<Self> {
         let timeouts = ConnectionTimeouts::from_settings(&host.settings());
         Rc::new(EndpointClients {
             host: host.clone(),
@@ -91,6 +92,7 @@
             timeouts: Cell::new(timeouts),
             keep_alive: Rc::new(KeepAlivePolicy::new(timeouts.idle)),
             max_connections,
+            socket_buffers,
             open: OpenConnections::default(),
             permits: Arc::new(Semaphore::new(max_connections)),
         })
@@ -143,13 +145,13 @@
     /// library's request timeout, which would end attempts that the core still waits for.
     fn build_client(&self, timeouts: ConnectionTimeouts) -> Client {
         let reuse = Rc::new(EndpointReuse::new(self.keep_alive.clone()));
-        let open = self.open.clone();
+        let (open, buffers) = (self.open.clone(), self.socket_buffers);
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
             let (reuse, open) = (reuse.clone(), open.clone());
             async move {
                 let uri = info.request().clone();
                 let address = address_of(&uri)?;
-                let socket = connect(address, timeouts.connect).await.map_err(ConnectError::Io)?;
+                let socket = connect(address, timeouts.connect, buffers).await.map_err(ConnectError::Io)?;
                 let _ = socket.set_nodelay(true);
                 let connection = EndpointConnection::new(socket, reuse, open.register());
                 Ok::<_, ConnectError>(Connection::new(uri, connection))
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -9,6 +9,7 @@
 pub mod listener;
 pub mod log;
 pub mod memory;
+pub mod memory_plan;
 pub mod shutdown;
 pub mod socket_memory;
 pub mod sockets;
--- a/src/runtime/sockets.rs
+++ b/src/runtime/sockets.rs
@@ -6,6 +6,7 @@
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::http::Uri;
 use awc::{Client, Connector};
+use socket2::SockRef;
 use std::future::Future;
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
@@ -13,7 +14,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::Instant;
 
 /// The pause before a socket is requested again that the system had no resources for.
@@ -51,16 +52,42 @@
     is_shortage(error) || matches!(error.raw_os_error(), Some(EINTR | EAGAIN | EADDRNOTAVAIL))
 }
 
+/// How much the system holds for a socket, as it counts it, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SocketBuffers {
+    /// What was received and not read.
+    pub receive: usize,
+    /// What was written and not acknowledged.
+    pub send: usize,
+}
+
+impl SocketBuffers {
+    /// Bounds the buffers of a socket. Connections that a listening socket accepts from then on have its bounds.
+    ///
+    /// # Errors
+    /// The system does not accept the sizes.
+    pub fn apply<'s>(&self, socket: impl Into<SockRef<'s>>) -> io::Result<()> {
+        let socket = socket.into();
+        // The system doubles the size that it is given, to allow for its own overhead.
+        socket.set_recv_buffer_size(self.receive / 2)?;
+        socket.set_send_buffer_size(self.send / 2)
+    }
+}
+
 /// Connects to an endpoint. Failures for a reason on this machine are retried for 90 % of `timeout`.
 ///
 /// # Errors
 /// The connection failed for another reason, or failures on this machine lasted for all of that time.
-pub async fn connect(endpoint: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+pub async fn connect(
+    endpoint: SocketAddr,
+    timeout: Duration,
+    buffers: Option<SocketBuffers>,
+) -> io::Result<TcpStream> {
     // The caller applies `timeout` as well. Retries end earlier, so that the caller gets the error and not
     // just a timeout.
     let retry_until = Instant::now() + timeout.mul_f64(CONNECT_RETRY_TIME_SHARE);
     loop {
-        match TcpStream::connect(endpoint).await {
+        match connect_once(endpoint, buffers).await {
             Err(why) if is_local_error(&why) && Instant::now() < retry_until => {
                 tokio::time::sleep(CONNECT_RETRY_INTERVAL).await
             }
@@ -69,6 +96,14 @@
     }
 }
 
+async fn connect_once(endpoint: SocketAddr, buffers: Option<SocketBuffers>) -> io::Result<TcpStream> {
+    let socket = if endpoint.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(buffers) = buffers {
+        buffers.apply(&socket)?;
+    }
+    socket.connect(endpoint).await
+}
+
 /// Returns the outcome of an attempt whose connection could not be established.
 pub fn connect_outcome(error: &io::Error) -> TransportOutcome {
     if is_local_error(error) {
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -545,7 +545,7 @@
     let (listener, address) = loopback().await;
     let (core, stop) = (host(&settings), Rc::new(Notify::new()));
     core.feed(Input::EndpointList(list));
-    let endpoint_clients = shaletack::net::upstream::endpoint_clients::EndpointClients::new(&core, 16);
+    let endpoint_clients = shaletack::net::upstream::endpoint_clients::EndpointClients::new(&core, 16, None);
     let front = shaletack::net::downstream::front::Front {
         host: core.clone(),
         endpoint_clients,
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -273,7 +273,7 @@
     run_test(async {
         let endpoint = StubHttpEndpoint::start(|_, _| None).await;
         let host = host(&operator(&[(endpoint.address, 0), (endpoint.address, 1)]).settings);
-        let endpoint_clients = EndpointClients::new(&host, 1);
+        let endpoint_clients = EndpointClients::new(&host, 1, None);
         let attempt = || {
             read_call(&endpoint_clients).attempt(endpoint.address, Duration::from_secs(2), Box::new(|_| {}))
         };
@@ -320,7 +320,7 @@
         })
         .await;
         let host = host(&operator(&[(endpoint, 0), (endpoint, 1)]).settings);
-        let endpoint_clients = EndpointClients::new(&host, 4);
+        let endpoint_clients = EndpointClients::new(&host, 4, None);
         for (text, delimited, outcome) in forms {
             for cut in 0..=text.len() {
                 next.set((text, cut));
