Measure what the process holds, and let that go before the estimate

Change: a counting allocator (cap, over the system's); resident pages each 20 ms and the buffers of all sockets (sock_diag) at most each 100 ms and 2% of the time. Near the limit nothing large is reserved (87%), then nothing (92%), then the connection that held most for longest is closed (96%). Pages that the allocator keeps unused make no pressure. Every 10 s, and when pressure rises, a line has memory by kind, failed reservations, and connections that are not read; a close for memory has its connection, stage and size.

--- a/src/app/serve_platform.rs
+++ b/src/app/serve_platform.rs
@@ -159,7 +159,10 @@
         ready.set(true);
         let hand_over = Rc::new(move || link.is_connected().then(|| link.yield_budgets()).is_some());
         let max_connections = plan.clients;
-        let memory = MemoryBudget::new(usize::try_from(plan.client_bytes).unwrap_or(usize::MAX));
+        let memory = MemoryBudget::in_process(
+            usize::try_from(plan.client_bytes).unwrap_or(usize::MAX),
+            config.max_memory_mib << 20,
+        );
         let front = Front { host, endpoint_clients, max_connections, memory, request_ids, hand_over };
         let mut terminate = signals.terminate;
         front::serve(front, listener, async move {
--- a/src/net/downstream/connection.rs
+++ b/src/net/downstream/connection.rs
@@ -381,6 +381,14 @@
         Some(held * age.as_millis() as u64)
     }
 
+    /// Returns how much the connection holds beside what every open connection does, weighted by how long it has been
+    /// in its stage; `None`: nothing.
+    pub(super) fn held_weight(&self, now: Instant) -> Option<u64> {
+        let held = self.memory.held_bytes() as u64;
+        let age = now.saturating_duration_since(self.stage_since.get());
+        (held > 0).then(|| held * (1 + age.as_millis() as u64))
+    }
+
     /// Returns how long the bytes of the body that have arrived may have taken since the head was complete.
     fn body_timeout(&self) -> Duration {
         BODY_SLACK + Duration::from_secs_f64(self.stage_bytes.get() as f64 / MIN_BODY_RATE)
--- a/src/net/downstream/connection_registry.rs
+++ b/src/net/downstream/connection_registry.rs
@@ -8,10 +8,11 @@
 use super::client_stream::ClientStream;
 use super::connection::{Connection, DrainSchedule, READ_TIMEOUT_WHEN_FULL};
 use super::memory::ConnectionMemory;
+use super::memory_observer::MemoryObserver;
 use super::read_ahead::ReadAheadTotal;
 use super::request_ids::ConnectionNumber;
 use crate::runtime::host::Host;
-use crate::runtime::memory::MemoryBudget;
+use crate::runtime::memory::{MemoryBudget, MemoryPressure};
 use crate::runtime::shutdown::Shutdown;
 use crate::runtime::sockets::Uninterrupted;
 use std::cell::{Cell, RefCell};
@@ -120,9 +121,14 @@
     /// once the front has stopped. At most `max` connections are accepted at a time.
     pub async fn close_timed_out(self, host: Host, max: usize, shutdown: Shutdown) {
         let mut logged_at: Option<Instant> = None;
+        let mut observer = MemoryObserver::new(self.memory.clone());
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
             let now = Instant::now();
+            let connections = self.live();
+            if observer.observe(now, host.budget_share(), &connections) == MemoryPressure::Close {
+                observer.close_largest(now, &connections);
+            }
             let occupancy = self.occupancy(&host, max, &shutdown);
             let closed = self.check_connections(now, &host, &shutdown, occupancy);
             if occupancy.full && logged_at.is_none_or(|at| now > at + LIMIT_LOG_INTERVAL) {
--- a/src/net/downstream/memory.rs
+++ b/src/net/downstream/memory.rs
@@ -70,6 +70,11 @@
         self.request.reserved() + self.read_ahead.reserved()
     }
 
+    /// Returns the number of bytes that are reserved beside those of the open connection.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.request_bytes() + self.response.reserved()
+    }
+
     /// Reserves the memory of a parsed head of `bytes` bytes and `fields` fields. Returns `false` if none is left. A
     /// small head always has its memory.
     pub(super) fn reserve_head(&self, bytes: usize, fields: usize) -> bool {
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -14,6 +14,7 @@
 pub mod connection_registry;
 pub mod front;
 pub mod memory;
+mod memory_observer;
 pub mod read_ahead;
 pub mod request_framing;
 pub mod request_head;
--- a/src/runtime/memory.rs
+++ b/src/runtime/memory.rs
@@ -1,10 +1,14 @@
 //! The memory that clients make the process hold. All of it is reserved in one budget before it is taken, so
 //! that no number and no behaviour of clients exceeds what the process is granted.
 //!
+//! What is really held goes before the reservations: near the limit of the process nothing large is reserved any more,
+//! then nothing at all, and then whoever holds most has to end ([`MemoryPressure`]).
+//!
 //! Small reservations, those of a connection, of a request's head and of a small body, may use the whole budget.
 //! Large ones leave a quarter of it to the small ones, so that large requests do not keep out small ones.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use super::process_memory::ProcessMemory;
+use std::sync::atomic::{AtomicU64, AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -16,6 +20,46 @@
 /// For how long after a reservation failed the budget counts as awaited.
 const RECENTLY: Duration = Duration::from_millis(100);
 
+/// At which part of its limit a process is under pressure, in percent: by the level of pressure.
+const PRESSURE_PERCENT: [(MemoryPressure, u64); 3] =
+    [(MemoryPressure::Close, 96), (MemoryPressure::Refuse, 92), (MemoryPressure::StopReading, 87)];
+/// The allocator keeps pages that it uses again. There is pressure only while what is allocated is at most this much
+/// below what is resident, in percent of the limit.
+const MAX_UNUSED_PERCENT: u64 = 15;
+
+/// How near a process is to its memory limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MemoryPressure {
+    /// Not near.
+    #[default]
+    None,
+    /// Nothing large is reserved, so that large requests are not read on.
+    StopReading,
+    /// Nothing is reserved, so that requests are refused.
+    Refuse,
+    /// Connections are closed as well, those that hold most first.
+    Close,
+}
+
+impl MemoryPressure {
+    fn from_level(level: u8) -> Self {
+        let levels = [Self::None, Self::StopReading, Self::Refuse, Self::Close];
+        levels.get(usize::from(level)).copied().unwrap_or_default()
+    }
+
+    /// Returns the pressure of a process with this limit in bytes; 0: it has none.
+    pub fn of(memory: ProcessMemory, program_bytes: u64, limit: u64) -> Self {
+        let used = program_bytes + memory.allocated + memory.sockets.total();
+        let reaches = |percent: u64| {
+            limit > 0
+                && memory.total() * 100 >= limit * percent
+                && used * 100 >= limit * (percent - MAX_UNUSED_PERCENT)
+        };
+        let level = PRESSURE_PERCENT.into_iter().find(|(_, percent)| reaches(*percent));
+        level.map_or(Self::None, |(pressure, _)| pressure)
+    }
+}
+
 /// A budget that all clients share. Clones share the same budget.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget(Arc<Budget>);
@@ -33,11 +77,24 @@
     refused_at: Mutex<Option<Instant>>,
     /// Notified when bytes are released.
     released: Notify,
+    /// The limit of the process in bytes; 0: it has none.
+    process_limit: u64,
+    /// What the program takes beside what is allocated, in bytes: as it was first observed.
+    program_bytes: AtomicU64,
+    /// The [`MemoryPressure`].
+    pressure: AtomicU8,
+    /// The number of reservations that failed.
+    refused: AtomicU64,
 }
 
 impl MemoryBudget {
-    /// Creates a budget of `limit` bytes.
+    /// Creates a budget of `limit` bytes in a process without a limit.
     pub fn new(limit: usize) -> Self {
+        Self::in_process(limit, 0)
+    }
+
+    /// Creates a budget of `limit` bytes in a process that may hold `process_limit` bytes; 0: any number.
+    pub fn in_process(limit: usize, process_limit: u64) -> Self {
         MemoryBudget(Arc::new(Budget {
             granted: limit,
             limit: AtomicUsize::new(limit),
@@ -45,9 +102,41 @@
             waiting: AtomicUsize::new(0),
             refused_at: Mutex::new(None),
             released: Notify::new(),
+            process_limit,
+            program_bytes: AtomicU64::new(u64::MAX),
+            pressure: AtomicU8::default(),
+            refused: AtomicU64::default(),
         }))
     }
 
+    /// Records what the process holds, and returns the pressure from now on. The process may use `share` of its limit.
+    pub fn observe(&self, memory: ProcessMemory, share: f64) -> MemoryPressure {
+        let program = memory.resident.saturating_sub(memory.allocated);
+        let program = self.0.program_bytes.fetch_min(program, Ordering::Relaxed).min(program);
+        let limit = (self.0.process_limit as f64 * share) as u64;
+        let pressure = MemoryPressure::of(memory, program, limit);
+        let before = self.0.pressure.swap(pressure as u8, Ordering::Relaxed);
+        if (pressure as u8) < before {
+            self.0.released.notify_waiters();
+        }
+        pressure
+    }
+
+    /// Returns how near the process was to its limit when that was observed last.
+    pub fn pressure(&self) -> MemoryPressure {
+        MemoryPressure::from_level(self.0.pressure.load(Ordering::Relaxed))
+    }
+
+    /// Returns the number of bytes that are reserved.
+    pub fn reserved(&self) -> usize {
+        self.0.reserved.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many reservations failed.
+    pub fn refused(&self) -> u64 {
+        self.0.refused.load(Ordering::Relaxed)
+    }
+
     /// Opens an account without reservations.
     pub fn open_account(&self) -> MemoryAccount {
         MemoryAccount { budget: self.clone(), reserved: AtomicUsize::new(0) }
@@ -69,8 +158,13 @@
         self.0.limit.load(Ordering::Relaxed)
     }
 
-    fn bulk_limit(&self) -> usize {
-        self.limit() / 4 * BULK_QUARTERS
+    /// Returns how much may be reserved by an account that holds `bytes` bytes then.
+    fn limit_for(&self, bytes: usize) -> usize {
+        match (self.pressure(), bytes <= MAX_SMALL_BYTES) {
+            (MemoryPressure::None | MemoryPressure::StopReading, true) => self.limit(),
+            (MemoryPressure::None, false) => self.limit() / 4 * BULK_QUARTERS,
+            _ => 0,
+        }
     }
 
     /// Reserves bytes if no more than `limit` are reserved then.
@@ -109,14 +203,12 @@
         if bytes == 0 {
             return true;
         }
-        let limit = match self.reserved() + bytes {
-            0..=MAX_SMALL_BYTES => self.budget.limit(),
-            _ => self.budget.bulk_limit(),
-        };
+        let limit = self.budget.limit_for(self.reserved() + bytes);
         let is_reserved = self.budget.try_reserve(bytes, limit);
         if is_reserved {
             self.reserved.fetch_add(bytes, Ordering::Relaxed);
         } else {
+            self.budget.0.refused.fetch_add(1, Ordering::Relaxed);
             let refused_at = &self.budget.0.refused_at;
             *refused_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         }
@@ -129,9 +221,9 @@
         let _waiting = Waiting::new(&self.budget.0.waiting);
         loop {
             let released = self.budget.0.released.notified();
-            let limit = match self.reserved() + bytes {
-                0..=MAX_SMALL_BYTES => self.budget.limit(),
-                _ => self.budget.bulk_limit().max(bytes),
+            let limit = match self.budget.limit_for(self.reserved() + bytes) {
+                0 => 0,
+                limit => limit.max(bytes),
             };
             if self.budget.try_reserve(bytes, limit) {
                 self.reserved.fetch_add(bytes, Ordering::Relaxed);
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -10,6 +10,7 @@
 pub mod log;
 pub mod memory;
 pub mod memory_plan;
+pub mod process_memory;
 pub mod shutdown;
 pub mod socket_memory;
 pub mod sockets;
--- a/tests/memory_plan.rs
+++ b/tests/memory_plan.rs
@@ -1,8 +1,12 @@
-//! The bounds of everything that a process may hold, together, against the memory that it is granted.
+//! The bounds of everything that a process may hold, together, against the memory that it is granted, and what it
+//! does when it holds more than was planned.
 
 use shaletack::config;
 use shaletack::net::downstream::memory::OPEN_CONNECTION_BYTES;
+use shaletack::runtime::memory::{MemoryBudget, MemoryPressure};
 use shaletack::runtime::memory_plan::{Grant, MemoryPlan, ENDPOINT_CONNECTION_BYTES};
+use shaletack::runtime::process_memory::ProcessMemory;
+use shaletack::runtime::socket_memory::SocketMemory;
 
 fn plan(memory_mib: u64, descriptors: usize) -> MemoryPlan {
     MemoryPlan::new(Grant {
@@ -59,3 +63,35 @@
     assert_eq!(plan(0, 1024).socket_buffers, None);
     assert!(plan(0, 1024).fits(0));
 }
+
+/// Guards against an estimate without a measurement: what is really held goes before what is reserved. Near the limit
+/// nothing large is reserved, then nothing, and the pressure ends with what is held, also if the allocator keeps pages.
+#[test]
+fn what_is_held_goes_before_what_is_reserved() {
+    const MIB: u64 = 1 << 20;
+    let held = |resident_mib: u64, allocated_mib: u64, sockets_mib: u64| ProcessMemory {
+        resident: resident_mib * MIB,
+        allocated: allocated_mib * MIB,
+        sockets: SocketMemory { sockets: 1, received: 0, sent: sockets_mib * MIB },
+    };
+    let budget = MemoryBudget::in_process(16 << 20, 100 * MIB);
+    let (small, large) = (budget.open_account(), budget.open_account());
+    let reservations = || (small.try_reserve(1000), large.try_reserve(100_000));
+    assert_eq!(budget.observe(held(20, 10, 0), 1.0), MemoryPressure::None);
+    assert_eq!(reservations(), (true, true));
+    // Resident pages and the buffers of sockets count together.
+    assert_eq!(budget.observe(held(60, 50, 28), 1.0), MemoryPressure::StopReading);
+    assert_eq!(reservations(), (true, false));
+    assert_eq!(budget.observe(held(93, 83, 0), 1.0), MemoryPressure::Refuse);
+    assert_eq!(reservations(), (false, false));
+    assert_eq!(budget.observe(held(97, 87, 0), 1.0), MemoryPressure::Close);
+    assert_eq!(reservations(), (false, false));
+    assert_eq!(budget.refused(), 5);
+    // Most of what was allocated is free again, and the allocator keeps the pages.
+    assert_eq!(budget.observe(held(97, 40, 0), 1.0), MemoryPressure::None);
+    assert_eq!(reservations(), (true, true));
+    // Two processes share the limit during a hand-over.
+    assert_eq!(budget.observe(held(49, 39, 0), 0.5), MemoryPressure::Close);
+    // A process without a limit is never under pressure.
+    assert_eq!(MemoryBudget::new(1000).observe(held(900, 900, 900), 1.0), MemoryPressure::None);
+}
