Leave connections to endpoints to small requests, and time clients whose bytes must wait

Change: uploads use three quarters of these connections; one more waits unread for up to 1.5 s, then gets 503.

Bounded receive buffers brought another fault, shown by upload_deadlines (slow-sized, no answer in time): what a client has sent long ago waits in its own system, and each part that arrives began its time anew. Now a client's time begins anew only if its endpoint had taken all that had arrived before: otherwise the bytes may have waited. The test passes.

Pressure counts the pages of the program as those of an optimised one, so that a build for debugging is no exception, and a grant that is too small for the least counts as that.

--- a/src/app/serve_platform.rs
+++ b/src/app/serve_platform.rs
@@ -161,7 +161,7 @@
         let max_connections = plan.clients;
         let memory = MemoryBudget::in_process(
             usize::try_from(plan.client_bytes).unwrap_or(usize::MAX),
-            config.max_memory_mib << 20,
+            plan.total_bytes.max(config.max_memory_mib << 20),
         );
         let front = Front { host, endpoint_clients, max_connections, memory, request_ids, hand_over };
         let mut terminate = signals.terminate;
--- a/src/net/downstream/front.rs
+++ b/src/net/downstream/front.rs
@@ -37,9 +37,11 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tracing::error;
 
 /// How long a client has to read the last response of a connection to its end.
@@ -49,6 +51,8 @@
 const MEMORY_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a request waits for that memory whose body is still being sent.
 const MEMORY_TIMEOUT_WHILE_SENDING: Duration = Duration::from_millis(2400);
+/// How long an upload waits for a place among all uploads before it is refused. None of it is read meanwhile.
+const UPLOAD_TIMEOUT: Duration = Duration::from_millis(1500);
 /// For how many bytes of a body that is buffered memory is reserved at a time.
 const BODY_PART_BYTES: usize = 16 << 10;
 /// How many bytes of responses actix-http holds before it writes them, if it can.
@@ -85,7 +89,10 @@
         shutdown: shutdown.clone(),
         hand_over,
     };
-    let service = Rc::new(RequestService { host, endpoint_clients, request_ids, memory: memory.clone() });
+    let uploads = Arc::new(Semaphore::new(endpoint_clients.max_uploads()));
+    let memory_of_requests = memory.clone();
+    let service =
+        Rc::new(RequestService { host, endpoint_clients, request_ids, uploads, memory: memory_of_requests });
     let closing = shutdown.clone();
     let handler = fn_service(move |request: Request| {
         let (service, closing) = (service.clone(), closing.clone());
@@ -140,6 +147,8 @@
     host: Host,
     endpoint_clients: Rc<EndpointClients>,
     request_ids: Rc<RefCell<RequestIds>>,
+    /// A place for each upload that may be open.
+    uploads: Arc<Semaphore>,
     memory: MemoryBudget,
 }
 
@@ -182,6 +191,13 @@
         if request.method() != Method::PUT && !matches!(body, RequestBody::None) {
             return reject_and_close(&connection.0, StatusCode::BAD_REQUEST);
         }
+        let _upload = match body {
+            RequestBody::Streaming(_) => match self.upload_permit().await {
+                Some(permit) => Some(permit),
+                None => return reject_and_close(&connection.0, StatusCode::SERVICE_UNAVAILABLE),
+            },
+            RequestBody::None | RequestBody::Buffered(_) => None,
+        };
         let waited = waiting_time(&request, &body, &connection.0);
         let Some(mut head) = self.host.with_broker(|core| request_head::parse(&request, core)) else {
             return reject_and_close(&connection.0, StatusCode::BAD_REQUEST);
@@ -201,6 +217,13 @@
         self.forward(&request, head, body, connection).await
     }
 
+    /// Waits for a place for one more upload; `None`: there was none in time.
+    async fn upload_permit(&self) -> Option<OwnedSemaphorePermit> {
+        let permit = self.uploads.clone().acquire_owned();
+        // The semaphore is never closed.
+        tokio::time::timeout(UPLOAD_TIMEOUT, permit).await.ok()?.ok()
+    }
+
     /// Submits the request to the core, and turns the one final answer into a response.
     async fn forward(
         &self,
--- a/src/net/downstream/memory_observer.rs
+++ b/src/net/downstream/memory_observer.rs
@@ -59,8 +59,8 @@
     }
 
     fn log(&self, pressure: MemoryPressure, connections: &[Rc<Connection>]) {
-        let ProcessMemory { resident, allocated, sockets } = self.last;
-        let (resident_kib, allocated_kib) = (resident >> 10, allocated >> 10);
+        let ProcessMemory { program, anonymous, allocated, sockets } = self.last;
+        let (resident_kib, allocated_kib) = ((program + anonymous) >> 10, allocated >> 10);
         let (received_kib, sent_kib) = (sockets.received >> 10, sockets.sent >> 10);
         let reserved_kib = self.budget.reserved() >> 10;
         let refused = self.budget.refused();
--- a/src/net/upstream/endpoint_clients.rs
+++ b/src/net/upstream/endpoint_clients.rs
@@ -33,6 +33,10 @@
 const IDLE_TIME_NUMERATOR: u32 = 6;
 /// The denominator of that part.
 const IDLE_TIME_DENOMINATOR: u32 = 10;
+/// The numerator of the part of all connections that uploads may use.
+const UPLOADS_NUMERATOR: usize = 3;
+/// The denominator of that part.
+const UPLOADS_DENOMINATOR: usize = 4;
 /// The maximum age of a connection. Long enough that connections are not closed for their age in practice.
 const MAX_CONNECTION_AGE: Duration = Duration::from_secs(24 * 3600);
 
@@ -109,6 +113,11 @@
         timeouts
     }
 
+    /// Returns how many connections uploads may use at a time. They take long, and leave a part to small requests.
+    pub fn max_uploads(&self) -> usize {
+        (self.max_connections * UPLOADS_NUMERATOR / UPLOADS_DENOMINATOR).max(1)
+    }
+
     /// Waits until one more connection may be in use, and reserves a place for it until the permit is
     /// dropped.
     pub async fn reserve_connection(&self) -> Option<OwnedSemaphorePermit> {
--- a/src/net/upstream/request_body.rs
+++ b/src/net/upstream/request_body.rs
@@ -71,6 +71,9 @@
     is_awaited: Cell<bool>,
     /// Whether the client was known to be still sending at the last check.
     is_sending: Cell<bool>,
+    /// Whether the endpoint did not take what had arrived at the last check. What arrives then may have been sent long
+    /// before: it waited until the system had room for it.
+    was_endpoint_slow: Cell<bool>,
 }
 
 impl ClientProgress {
@@ -122,11 +125,14 @@
 
     fn check_client(&self, on_progress: &ProgressCallback) {
         let arrived = (self.arrived)();
+        let was_endpoint_slow = self.client.was_endpoint_slow.replace(!self.client.is_awaited.get());
         if arrived.total > self.client.arrived.get() {
             self.client.arrived.set(arrived.total);
-            self.client.is_sending.set(false);
-            on_progress(AttemptProgress::ClientMayBeDone);
-        } else if self.is_incomplete(arrived) && !self.client.is_sending.replace(true) {
+            if !was_endpoint_slow {
+                self.client.is_sending.set(false);
+                on_progress(AttemptProgress::ClientMayBeDone);
+            }
+        } else if self.is_incomplete(arrived) && !was_endpoint_slow && !self.client.is_sending.replace(true) {
             on_progress(AttemptProgress::ClientSending);
         }
     }
--- a/src/runtime/memory.rs
+++ b/src/runtime/memory.rs
@@ -48,12 +48,11 @@
     }
 
     /// Returns the pressure of a process with this limit in bytes; 0: it has none.
-    pub fn of(memory: ProcessMemory, program_bytes: u64, limit: u64) -> Self {
-        let used = program_bytes + memory.allocated + memory.sockets.total();
+    pub fn of(memory: ProcessMemory, limit: u64) -> Self {
         let reaches = |percent: u64| {
             limit > 0
                 && memory.total() * 100 >= limit * percent
-                && used * 100 >= limit * (percent - MAX_UNUSED_PERCENT)
+                && memory.in_use() * 100 >= limit * (percent - MAX_UNUSED_PERCENT)
         };
         let level = PRESSURE_PERCENT.into_iter().find(|(_, percent)| reaches(*percent));
         level.map_or(Self::None, |(pressure, _)| pressure)
@@ -79,8 +78,6 @@
     released: Notify,
     /// The limit of the process in bytes; 0: it has none.
     process_limit: u64,
-    /// What the program takes beside what is allocated, in bytes: as it was first observed.
-    program_bytes: AtomicU64,
     /// The [`MemoryPressure`].
     pressure: AtomicU8,
     /// The number of reservations that failed.
@@ -103,7 +100,6 @@
             refused_at: Mutex::new(None),
             released: Notify::new(),
             process_limit,
-            program_bytes: AtomicU64::new(u64::MAX),
             pressure: AtomicU8::default(),
             refused: AtomicU64::default(),
         }))
@@ -111,10 +107,8 @@
 
     /// Records what the process holds, and returns the pressure from now on. The process may use `share` of its limit.
     pub fn observe(&self, memory: ProcessMemory, share: f64) -> MemoryPressure {
-        let program = memory.resident.saturating_sub(memory.allocated);
-        let program = self.0.program_bytes.fetch_min(program, Ordering::Relaxed).min(program);
         let limit = (self.0.process_limit as f64 * share) as u64;
-        let pressure = MemoryPressure::of(memory, program, limit);
+        let pressure = MemoryPressure::of(memory, limit);
         let before = self.0.pressure.swap(pressure as u8, Ordering::Relaxed);
         if (pressure as u8) < before {
             self.0.released.notify_waiters();
--- a/src/runtime/process_memory.rs
+++ b/src/runtime/process_memory.rs
@@ -5,6 +5,8 @@
 use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
+/// The most that the pages of an optimised program take.
+const MAX_PROGRAM_BYTES: u64 = 8 << 20;
 /// How often the buffers of sockets are read at most.
 const SOCKETS_INTERVAL: Duration = Duration::from_millis(100);
 /// Reading the buffers of sockets may take one of this many parts of the time.
@@ -21,8 +23,10 @@
 /// What the process holds, in bytes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ProcessMemory {
-    /// The resident pages, with those of the program.
-    pub resident: u64,
+    /// The resident pages of the program.
+    pub program: u64,
+    /// All other resident pages.
+    pub anonymous: u64,
     /// What is allocated.
     pub allocated: u64,
     /// The buffers of the sockets, as they were read last.
@@ -30,9 +34,19 @@
 }
 
 impl ProcessMemory {
-    /// Returns all that counts against the limit of the process.
+    /// Returns all that counts against the limit of the process. A program that is not optimised counts like one that
+    /// is.
     pub fn total(&self) -> u64 {
-        self.resident + self.sockets.total()
+        self.counted_program() + self.anonymous + self.sockets.total()
+    }
+
+    /// Returns what of that is in use: the allocator keeps pages that it uses again.
+    pub fn in_use(&self) -> u64 {
+        self.counted_program() + self.allocated + self.sockets.total()
+    }
+
+    fn counted_program(&self) -> u64 {
+        self.program.min(MAX_PROGRAM_BYTES)
     }
 }
 
@@ -53,18 +67,23 @@
             let next = (now.elapsed() * SOCKETS_TIME_DIVISOR).max(SOCKETS_INTERVAL);
             self.next_sockets_at = Some(Instant::now() + next);
         }
+        let (program, anonymous) = resident_bytes().unwrap_or_default();
         ProcessMemory {
-            resident: resident_bytes().unwrap_or(0),
+            program,
+            anonymous,
             allocated: ALLOCATED_BYTES.get().map_or(0, |allocated_bytes| allocated_bytes()),
             sockets: self.sockets,
         }
     }
 }
 
-/// Returns the resident pages of the process, in bytes.
-fn resident_bytes() -> io::Result<u64> {
+/// Returns the resident pages of the program and all others, in bytes.
+fn resident_bytes() -> io::Result<(u64, u64)> {
     let status = std::fs::read_to_string("/proc/self/statm")?;
-    let pages = status.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
-    let pages = pages.ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))?;
-    Ok(pages * rustix::param::page_size() as u64)
+    let mut pages = status.split(' ').skip(1).map_while(|pages| pages.parse::<u64>().ok());
+    let (Some(resident), Some(of_files)) = (pages.next(), pages.next()) else {
+        return Err(io::ErrorKind::InvalidData.into());
+    };
+    let page_size = rustix::param::page_size() as u64;
+    Ok((of_files * page_size, resident.saturating_sub(of_files) * page_size))
 }
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -143,6 +143,16 @@
     check("all", &[Kind::ALL.to_vec()]);
 }
 
+/// Guards against uploads that take every connection to endpoints for as long as they last: with 256 descriptors those
+/// are fewer than the clients.
+#[test]
+fn slow_uploads_leave_connections_to_endpoints_to_small_requests() {
+    let few_descriptors = Play { memory_mib: 192, descriptors: 256, clients: 150, ..Play::default() };
+    let kinds = [Kind::SlowUpload];
+    let faults = play("uploads", &kinds, few_descriptors).faults(&kinds, few_descriptors);
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
 fn pair(random: &mut StdRng) -> Vec<Kind> {
     Kind::ALL.sample(random, 2).copied().collect()
 }
--- a/tests/memory_plan.rs
+++ b/tests/memory_plan.rs
@@ -70,7 +70,8 @@
 fn what_is_held_goes_before_what_is_reserved() {
     const MIB: u64 = 1 << 20;
     let held = |resident_mib: u64, allocated_mib: u64, sockets_mib: u64| ProcessMemory {
-        resident: resident_mib * MIB,
+        program: 0,
+        anonymous: resident_mib * MIB,
         allocated: allocated_mib * MIB,
         sockets: SocketMemory { sockets: 1, received: 0, sent: sockets_mib * MIB },
     };
@@ -91,7 +92,7 @@
     assert_eq!(budget.observe(held(97, 40, 0), 1.0), MemoryPressure::None);
     assert_eq!(reservations(), (true, true));
     // Two processes share the limit during a hand-over.
-    assert_eq!(budget.observe(held(49, 39, 0), 0.5), MemoryPressure::Close);
+    assert_eq!(budget.observe(held(49, 45, 0), 0.5), MemoryPressure::Close);
     // A process without a limit is never under pressure.
     assert_eq!(MemoryBudget::new(1000).observe(held(900, 900, 900), 1.0), MemoryPressure::None);
 }
